--- /dev/null
+++ b/laureldeck/__init__.py
@@ -0,0 +1,1 @@
+"""laureldeck: the decisions of an HTTP load balancer run as a bank of proxies."""
--- /dev/null
+++ b/laureldeck/decide.py
@@ -0,0 +1,801 @@
+"""Every decision of laureldeck. The types it takes and gives are in `laureldeck/interface.py`.
+
+A request passes its tenant's Throttle, may wait in its pool's line, and goes to the lightest upstream drawn.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections import deque
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from laureldeck import interface as api
+
+SECOND = 1_000_000_000
+DRAWS = 2  # random draws beside the previous winner
+HOME, SHARED = (4, 10), 6  # least home to draw from, one large enough for pauses; proxies that may share it
+BANK_S = 0.5  # C_T in seconds of tokens
+HOLD_PART = 0.2  # C_J as a part of C_T
+START_RATE = 10_000.0  # R starts above anything a proxy carries
+FEEDBACK_NS = SECOND // 2
+SLACK = 0.2  # R comes down only when answers take this much more of their aim than is crowded
+LEAST, BEST_FADE = 0.2, 0.98  # of what was served in good times, R keeps; forgotten in a minute
+DEEPEST_CUT = 0.3  # of R in one feedback interval
+START_WINDOW = 8  # requests of all proxies together in flight at each upstream
+EASE, CROWD = (0.35, 0.8), 3.0  # part of its aim that an attempt may take; times what it takes in good times
+STUCK_PART = 0.25  # of the window that overdue attempts may leave free, or one
+STRESS_MAX = 1.5  # worse than that counts no more
+STEP = 0.5  # of the window for each outcome
+LOOKS = 3  # upstreams asked for their load before a send, where that is cheap
+LOOK_PRICE = 0.01  # most that the looks of a request may cost
+LOOK_NS = SECOND // 100  # an answer that takes longer is not waited for
+LINE_PART = 0.5  # of a request's time to spare may go by in the line
+OVER_PART = 0.1  # the same for a tenant over its share
+COLD_PART = 0.7  # part of a cold upstream's budget that is used
+BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
+EVIDENCE = 8  # outcomes before a figure is believed
+
+
+def mixed(number: int, salt: int) -> int:
+    """A fixed scramble of an id: the same on every proxy, whatever the hash seed."""
+    x = (number * 0x9E3779B97F4A7C15 + salt * 0xD1B54A32D192ED03 + 0x632BE59BD9B4E019) & 0xFFFFFFFFFFFFFFFF
+    x = ((x ^ (x >> 29)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    return x ^ (x >> 32)
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send of a request."""
+
+    server: Server
+    sent_ns: int
+    expected: float
+    load: float  # what the upstream was thought to hold then, this one included
+    result: api.Result | None = None
+    overdue: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.result not in api.NEVER_RAN
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """What one request may still do: each send and refusal is proved legal here (rules 1 to 3, 5 and 6)."""
+
+    id: str
+    cls: api.RequestClass
+    tenant: Throttle
+    pool: Pool
+    deadline_ns: int
+    aim_ns: int  # an answer by then earns the full worth
+    hint: int
+    retry: bool = False  # the client's own repeat
+    turn: Turn | None = None  # the order of its key, where its class keeps one
+    attempts: list[Attempt] = field(default_factory=list)
+    over: bool = False
+    begun: bool = False  # its stream has begun
+    place: str = ""  # waiting for its "turn", "held" by its throttle, in the "line", or ""
+    turn_ns: int = 0  # its key rests until then
+    give_up_ns: int = 0  # waiting longer than this is of no use
+    asked: list[Server] = field(default_factory=list)  # asked for their load on its behalf
+    asked_ns: int = 0
+
+    @property
+    def out(self) -> int:
+        return sum(a.result is None for a in self.attempts)
+
+    def may_send(self, server: Server, now: int, limits: api.Limits) -> bool:
+        if self.over or self.begun or now >= self.deadline_ns or len(self.attempts) >= limits.max_attempts:
+            return False
+        if server.entry.state is not api.State.READY or self.out >= (2 if limits.second_copies else 1):
+            return False
+        if not open_to(server.entry, self.cls) or not self.has_turn(now):
+            return False
+        risky = [a for a in self.attempts if a.may_have_run]
+        if not risky or self.cls.effect is api.Effect.SAFE:
+            return True
+        fresh = self.cls.effect is api.Effect.KEYED and now - risky[0].sent_ns < self.cls.window_ns
+        return fresh and all(self._same_group(a.server, server) for a in risky)
+
+    def has_turn(self, now: int) -> bool:
+        """Is it the first of its key, and has the key rested since the one before it?"""
+        return self.turn is None or (self.turn.waiting[0] is self and now >= self.turn_ns)
+
+    def may_refuse(self) -> bool:
+        everywhere = self.cls.effect is api.Effect.KEYED and self.cls.scope is api.Scope.ALL
+        return (self.cls.effect is api.Effect.SAFE or everywhere
+                or not any(a.may_have_run for a in self.attempts))
+
+    def _same_group(self, x: Server, y: Server) -> bool:
+        if self.cls.scope is api.Scope.ALL:
+            return True
+        a, b = x.entry, y.entry
+        return a.zone == b.zone and (self.cls.scope is api.Scope.ZONE or a.cell == b.cell)
+
+
+def open_to(entry: api.Upstream, cls: api.RequestClass) -> bool:
+    """Rule 6: is this upstream in a zone and of a kind that the class may go to?"""
+    return (not cls.zones or entry.zone in cls.zones) and (not cls.kinds or entry.kind in cls.kinds)
+
+
+@dataclass(slots=True, eq=False)
+class Turn:
+    """Rule 5: the requests of one key, in the order taken; the first is the one whose turn it is."""
+
+    key: str
+    waiting: deque[Request] = field(default_factory=deque)
+    rest_ns: int = 0  # an attempt of an earlier one may run until then
+
+
+class Throttle:
+    """One tenant's gate: the paper's counter U = T - J + C_J in [0, C_J + C_T] (2.1), (2.8)."""
+
+    def __init__(self, weight: float, rng: random.Random, now: int) -> None:
+        self.weight = weight
+        self.bank = round(START_RATE * BANK_S)  # C_T
+        self.hold = round(self.bank * HOLD_PART)  # C_J
+        self.u = self.bank + self.hold  # starts full
+        self.rate = START_RATE
+        self.credit = rng.random()  # phase of the ticks: proxies must not release their holds in step
+        self.at = now
+        self.held: deque[Request] = deque()
+        self.asked = 0
+        self.demand = 0.0  # requests a second, learned
+        self.waking = False  # a timer for the next token is set
+        self.over = False
+        self.short = False  # a request found no token since R was last set
+
+    def set_rate(self, rate: float, now: int) -> None:
+        """Change the rate and with it the capacities; tokens in the bank and requests held stay."""
+        self.accrue(now)
+        balance = self.u - self.hold  # T - J
+        self.rate = rate
+        self.bank = max(4, round(rate * BANK_S))
+        self.hold = max(1, round(self.bank * HOLD_PART), len(self.held))
+        self.u = max(0, min(self.bank + self.hold, balance + self.hold))
+
+    def accrue(self, now: int) -> None:
+        self.credit += self.rate * (now - self.at) / SECOND
+        ticks = int(self.credit)
+        self.at, self.credit = now, self.credit - ticks
+        self.u = min(self.bank + self.hold, self.u + ticks)
+
+    def offer(self, request: Request, now: int) -> bool | None:
+        """True: send; None: held; False: overflow."""
+        self.accrue(now)
+        self.asked += 1
+        if self.u <= self.hold:
+            self.short = True
+        if self.u < 1:
+            return False
+        self.u -= 1
+        if self.u >= self.hold:
+            return True
+        self.held.append(request)
+        return None
+
+    def spare(self, now: int) -> bool:
+        """Take a token for a copy or a client's retry, if fresh work leaves part of the bank unused."""
+        self.accrue(now)
+        if self.u - self.hold <= self.bank // 4:
+            return False
+        self.u -= 1
+        return True
+
+    def released(self, now: int) -> Iterable[Request]:
+        self.accrue(now)
+        while len(self.held) > max(0, self.hold - self.u):
+            yield self.held.popleft()
+
+    def leave(self, request: Request) -> None:
+        """A held request ends: the token it waited for is not needed."""
+        self.held.remove(request)
+        self.u += 1
+
+
+class Rate:
+    """The proxy's rate R, learned from how attempts end, and its division among the tenants."""
+
+    def __init__(self, throttles: Sequence[Throttle], now: int) -> None:
+        self.throttles = throttles
+        self.value = START_RATE
+        self.since = now
+        self.sent = 0.0  # attempts ended a second
+        self.served = START_RATE  # and those of them in time
+        self.good = 0
+        self.unplaced = 0  # requests that no upstream had room for in time
+        self.bad = 0
+        self.best = 1.0  # served a second in good times, slowly forgotten
+
+    def adjust(self, now: int, excess: float) -> None:
+        elapsed = now - self.since
+        total = self.good + self.bad + self.unplaced
+        # A proxy with little traffic waits for enough outcomes, but not for ever.
+        if elapsed < FEEDBACK_NS or (total < EVIDENCE and elapsed < 4 * FEEDBACK_NS):
+            return
+        self.served = self.good * SECOND / elapsed
+        self.sent = (self.good + self.bad) * SECOND / elapsed
+        self.best = max(self.served, self.best * BEST_FADE)
+        # Judged by what lately ended, not by this interval: of eight outcomes one is late on any good day.
+        excess += self.unplaced / max(1, total) - SLACK
+        if excess > 0:
+            # After a shrink R stands far above what is served: come down to that first.
+            cut = min(self.value, 1.2 * self.sent + 1) * (1 - min(DEEPEST_CUT, excess))
+            self.value = max(LEAST * self.best, 0.9 * self.served, cut)
+        elif total and any(t.short for t in self.throttles):
+            self.value = min(START_RATE, self.value * 1.1 + 0.5)
+        for t in self.throttles:
+            t.demand += 0.5 * (t.asked * SECOND / elapsed - t.demand)
+            t.asked, t.short = 0, False
+        self._share(now)
+        self.since, self.good, self.bad, self.unplaced = now, 0, 0, 0
+
+    def _share(self, now: int) -> None:
+        """Fair shares of R by weight; what quiet tenants leave is lent to those who want more."""
+        whole = sum(t.weight for t in self.throttles)
+        lent, fair = self._fill(self.value), self._fill(self.served)
+        for i, t in enumerate(self.throttles):
+            t.set_rate(max(0.05, self.value * t.weight / whole, lent[i]), now)
+            t.over = t.demand > 1.1 * fair[i]  # it asks more than its share of what is served
+
+    def _fill(self, left: float) -> list[float]:
+        shares, weights = [0.0] * len(self.throttles), sum(t.weight for t in self.throttles)
+        for i, t in sorted(enumerate(self.throttles), key=lambda it: (it[1].demand / it[1].weight, it[0])):
+            shares[i] = min(t.demand, left * t.weight / weights)
+            left, weights = max(0.0, left - shares[i]), max(1e-9, weights - t.weight)
+        return [share + left for share in shares]
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What this proxy knows of one upstream."""
+
+    id: int
+    entry: api.Upstream
+    inflight: int = 0  # own requests there
+    pace: float = 1.0  # its time for a request against the fleet's
+    strikes: int = 0
+    barred_ns: int = 0  # not to be tried before this
+    own: bool = False  # in this proxy's home
+    load: float = 0.0  # requests it holds from all proxies, by its last report
+    load_ns: int = 0
+
+
+class Pool:
+    """The upstreams that one set of classes may go to, and the part of them this proxy draws from."""
+
+    def __init__(self, fleet: Fleet, cls: api.RequestClass) -> None:
+        self.fleet = fleet
+        self.cls = cls  # one of the classes it serves: they are all open to the same upstreams
+        self.order: list[Server] = []  # ready ones, this proxy's home first
+        self.home = 0
+        self.width = 0  # how many of `order` it draws from
+        self.last: Server | None = None  # the previous winner
+        self.line: deque[Request] = deque()
+        self.blocked_ns = 0  # the line found no upstream since
+
+    def arrange(self, ready: Sequence[Server], proxies: int) -> None:
+        """Extension: each proxy's home is its stretch of one ring that all proxies compute alike, so that
+        its own requests in flight say something of the upstream. Beyond it, an order of its own."""
+        ready = [s for s in ready if open_to(s.entry, self.cls)]
+        n, me = len(ready), self.fleet.settings.me
+        first = me * n // proxies
+        least = max(HOME[0], min(HOME[1], SHARED * n // proxies))
+        self.home = n if self.fleet.looks else min(n, max(least, (me + 1) * n // proxies - first))
+        ring = ready[first:] + ready[:first]
+        rest = sorted(ring[self.home:], key=lambda s: (mixed(s.id, me + 1), s.id))
+        self.order = ring[:self.home] + rest
+        self.width = min(n, max(self.width, self.home))
+        for s in ring[:self.home]:
+            s.own = True
+
+    def draw(self, count: int, now: int) -> list[Server]:
+        """So many random draws from those that are fit, and the previous winner. Looks at the upstreams
+        within reach at most, never at the fleet."""
+        reach, fit = self.width, self.fleet.fit
+        drawn: list[Server] = []
+        for _ in range(4 * count if reach else 0):
+            s = self.order[int(self.fleet.rng.random() * reach)]
+            if fit(s, now):
+                drawn.append(s)
+                if len(drawn) == count:
+                    break
+        if not drawn:
+            some = [s for s in self.order[:reach] if fit(s, now)]
+            drawn = [some[int(self.fleet.rng.random() * len(some))] for _ in range(count)] if some else []
+        last = self.last
+        if last is not None and fit(last, now) and open_to(last.entry, self.cls):
+            drawn.append(last)
+        return drawn
+
+    def able(self, now: int) -> int:
+        """How many within reach are not left alone: what the dead had must not all move to the rest."""
+        return sum(s.barred_ns <= now for s in self.order[:self.width])
+
+    def pick(self, now: int, allowed: Iterable[Server] | None = None) -> Server | None:
+        """The lightest, by own in flight and learned speed, of two draws and the previous winner."""
+        drawn = self.draw(DRAWS, now) if allowed is None else [s for s in allowed if self.fleet.fit(s, now)]
+        if not drawn:
+            return None
+        self.last = min(drawn, key=lambda s: (max(s.inflight, s.load) + 1) * s.pace)
+        return self.last
+
+
+class Fleet:
+    """Membership, cold starts, health, and which upstreams this proxy draws from."""
+
+    def __init__(self, settings: api.Settings, crowding: Crowding, rng: random.Random) -> None:
+        self.settings = settings
+        self.crowding = crowding
+        self.rng = rng
+        self.servers: dict[int, Server] = {}
+        self.looks = (settings.limits.probes and "inflight" in settings.report_columns
+                      and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
+        self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
+        self.sharers = 1.0  # proxies that have an upstream in their home
+        self.pools: dict[tuple[frozenset[str], frozenset[str]], Pool] = {}
+        self.main = self.pool(api.RequestClass(""))
+
+    def pool(self, cls: api.RequestClass) -> Pool:
+        """The pool of all classes that are open to the same upstreams."""
+        found = self.pools.get((cls.zones, cls.kinds))
+        return found or self.pools.setdefault((cls.zones, cls.kinds), Pool(self, cls))
+
+    def learn(self, update: api.ListUpdate, now: int) -> None:
+        if update.kind is not api.ListKind.DELTA:
+            listed = {e.id for e in update.upstreams}
+            for s in self.servers.values():
+                if s.id not in listed:
+                    s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
+        for entry in update.upstreams:
+            s = self.servers.setdefault(entry.id, Server(entry.id, entry))
+            was, s.entry = s.entry, entry
+            if entry.started_ns != was.started_ns:
+                s.strikes = s.barred_ns = 0
+            if self.cold(s, now) and (entry.started_ns != was.started_ns or was is entry):
+                # Rule 4: the first requests of all proxies must not reach it together.
+                s.barred_ns = now + int(self.rng.random() * self.cold_gap_ns(s, now))
+        ready = sorted((s for s in self.servers.values() if s.entry.state is api.State.READY),
+                       key=lambda s: (mixed(s.id, 0), s.id))
+        proxies = max(1, self.settings.replicas_of_me)
+        for s in self.servers.values():
+            s.own = False
+        for pool in self.pools.values():
+            pool.arrange(ready, proxies)
+        self.sharers = max(1.0, proxies * self.main.home / max(1, len(ready)))
+        own = max(1.0, START_WINDOW * len(ready) / proxies)
+        self.crowding.begin(own / max(1, self.main.home))
+
+    def cold(self, s: Server, now: int) -> bool:
+        return bool(s.entry.started_ns) and now - s.entry.started_ns < self.settings.rules.cold_ns
+
+    def cold_gap_ns(self, s: Server, now: int) -> int:
+        """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
+        together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
+        rules = self.settings.rules
+        part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
+        bears = max(self.borne, SECOND / self.crowding.each / self.sharers)
+        return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
+
+    def fit(self, s: Server, now: int) -> bool:
+        if s.entry.state is not api.State.READY or now < s.barred_ns:
+            return False
+        # One that failed or is still cold is tried with one request at a time.
+        # Where upstreams are asked for their load before each send, own counts add nothing to it.
+        limit = 1 if s.strikes or self.cold(s, now) else self.crowding.limit
+        return s.inflight < limit or (self.looks and not s.strikes)
+
+    def bar(self, s: Server, now: int, base: float) -> None:
+        """Leave a failing upstream alone, longer each time, unless that would leave hardly any."""
+        if s.barred_ns > now:
+            return  # what was out there when it stood still fails together: one strike for it
+        s.strikes += 1
+        reach = self.main.order[:self.main.width]
+        if sum(o.barred_ns > now for o in reach) < 0.7 * len(reach):
+            length = min(base * 2 ** min(s.strikes - 1, 5), BAR_MAX)
+            s.barred_ns = now + int(length * self.rng.uniform(0.75, 1.25))
+
+
+class Crowding:
+    """Learns what requests take, and how many of this proxy's own may be in flight.
+
+    Extension: among hundreds of proxies own counts say little of an upstream, but all feel it when it is
+    crowded. Each keeps a window over all it has in flight; beyond it requests wait in the line.
+    """
+
+    def __init__(self) -> None:
+        self.start = self.window = 0.5  # own requests that may be in flight, for each upstream within reach
+        self.stress = 0.0  # part of its aim that an answer took lately
+        self.calm = EASE[0] / CROWD  # and takes in good times
+        self.ease = EASE[0]  # above this, upstreams are crowded
+        self.seen = 0
+        self.each = SECOND / 50  # time for each request that an upstream holds
+        self.taken: dict[str, float] = {}  # class -> time, or time per hinted time
+        self.spread = 0.5  # mean deviation from the expected
+
+    @property
+    def limit(self) -> int:
+        """How many of them may be at any one upstream."""
+        return math.ceil(self.window)
+
+    def expected(self, r: Request) -> float:
+        if r.hint:
+            return self.taken.get("", 1.0) * r.hint
+        return self.taken.get(r.cls.name, r.cls.aim_ns / 8)
+
+    def note(self, r: Request, a: Attempt, took: int) -> None:
+        server = a.server
+        name, base = ("", float(r.hint)) if r.hint else (r.cls.name, 1.0)
+        was = self.taken.get(name)
+        self.taken[name] = took / base if was is None else was + 0.05 * (min(took / base, 8 * was) - was)
+        self.crowd(a, took)
+        ratio = took / max(1.0, self.expected(r))
+        self.spread += 0.05 * (min(3.0, abs(ratio / server.pace - 1)) - self.spread)
+        server.pace += 0.2 * (min(10.0, max(0.1, ratio)) - server.pace)
+
+    def crowd(self, a: Attempt, took: int) -> None:
+        self.seen += 1  # the first ones count more: a proxy with little traffic can't wait for twenty
+        self.each += max(0.05, 1 / self.seen) * (max(1, took) / a.load - self.each)
+
+    def begin(self, start: float) -> None:
+        """A list came: what this proxy may have in flight before it knows better, and comes back to."""
+        self.start = start
+        if not self.seen:
+            self.window = start
+
+    def crowded(self) -> bool:
+        return self.stress > self.ease
+
+    def feel(self, stress: float, waiting: bool, width: int) -> None:
+        """An attempt took this part of its aim: widen the window while others wait, or narrow it."""
+        stress = min(stress, STRESS_MAX)
+        self.stress += 0.1 * (stress - self.stress)
+        self.calm += (0.05 if self.stress < self.calm else 0.002) * (self.stress - self.calm)
+        self.ease = min(EASE[1], max(EASE[0], CROWD * self.calm))
+        step = STEP * (self.ease - stress) / max(1, width)
+        if waiting or step < 0 or self.window < self.start:
+            self.window = max(1 / max(1, width), self.window + step)
+
+
+class Balancer:
+    """One proxy. Feed it events with `handle`; carry out the actions it gives, in order."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        tenants = settings.tenants or {"": api.Tenant("")}
+        self.throttles = {name: Throttle(max(1e-6, t.share), self.rng, now) for name, t in tenants.items()}
+        self.rate = Rate(list(self.throttles.values()), now)
+        self.crowding = Crowding()
+        self.fleet = Fleet(settings, self.crowding, self.rng)
+        self.requests: dict[str, Request] = {}
+        for cls in settings.classes.values():
+            self.fleet.pool(cls)
+        self.turns: dict[str, Turn] = {}
+        self.due: list[tuple[int, int, str, Request | Throttle | Turn | None, int]] = []  # by time
+        self.count = 0
+        self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
+        self.actions: list[api.Action] = []
+        self.checked_ns = now
+        self.guest = 1.0  # how much slower upstreams beyond the home answer
+        self.out = self.stuck = 0  # own attempts in flight, and those of them that are overdue
+        self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
+        self.failures = 0
+        self.subscribed = settings.discovery_push
+        if not self.subscribed:
+            self._later(now + int(self.rng.random() * settings.rules.ask_within_ns / 4), "subscribe", None)
+
+    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
+        self.actions = []
+        for e in events:
+            if type(e) is api.Arrival:
+                self._arrival(e, now)
+            elif type(e) is api.Outcome:
+                self._outcome(e, now)
+            elif type(e) is api.ClientGone and e.request in self.requests:
+                self._end(self.requests[e.request], now)
+            elif type(e) is api.ListUpdate:
+                self._list(e, now)
+            elif type(e) is api.ProbeResult:
+                self._probed(e, now)
+            elif type(e) is api.AnswerBegun and e.request in self.requests:
+                self.requests[e.request].begun = True
+            elif type(e) is api.Wake and e.name == str(self.timer):
+                self.timer_ns = 0  # by its name, not the clock: a timer may come a little early
+        while self.due and self.due[0][0] <= now:
+            _, _, what, about, extra = heapq.heappop(self.due)
+            self._look(what, about, extra, now)
+        self._pump(now)
+        if now - self.checked_ns >= FEEDBACK_NS:
+            self._feedback(now)
+        if self.due and (not self.timer_ns or self.due[0][0] < self.timer_ns):
+            self.timer_ns = self.due[0][0]
+            self.timer += 1
+            self.actions.append(api.SetTimer(max(1, self.timer_ns - now), str(self.timer)))
+        return self.actions
+
+    def _later(self, at: int, what: str, about: Request | Throttle | Turn | None, extra: int = 0) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (at, self.count, what, about, extra))
+
+    def _arrival(self, e: api.Arrival, now: int) -> None:
+        throttle = self.throttles.get(e.tenant) or next(iter(self.throttles.values()))
+        cls = self.settings.classes.get(e.class_name) or api.RequestClass(e.class_name, api.Effect.UNSAFE)
+        aim = min(now + cls.aim_ns, e.deadline_ns)
+        pool = self.fleet.pool(cls)
+        r = Request(e.request, cls, throttle, pool, e.deadline_ns, aim, e.cost_hint_ns, e.retry)
+        self.requests[r.id] = r
+        need = self.crowding.expected(r) * (1 + self.crowding.spread)
+        r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
+        self._later(r.give_up_ns, "give up", r)  # whatever comes, a request that waits is looked at then
+        if cls.in_order and e.key:
+            r.turn = self.turns.setdefault(e.key, Turn(e.key))
+            r.turn.waiting.append(r)
+            r.turn_ns = r.turn.rest_ns
+        if r.has_turn(now):
+            self._offer(r, now)
+        else:
+            r.place = "turn"  # it holds no token meanwhile, and nobody waits behind it but its own key
+            self._later(r.turn_ns, "turn", r.turn)
+
+    def _offer(self, r: Request, now: int) -> None:
+        # Marked retries take spare tokens only: they must not starve fresh work.
+        r.place = ""
+        # Nowhere listed that it may go to: said at once, without a token.
+        answer = bool(r.pool.order) and (r.tenant.spare(now) if r.retry else r.tenant.offer(r, now))
+        if answer is False:
+            self._refuse(r, now)
+        elif answer is None:
+            r.place = "held"
+            self._release(r.tenant, now)
+        else:
+            self._admit(r, now)
+
+    def _pass_turn(self, turn: Turn, now: int) -> None:
+        """Rule 5: whoever is over and has nothing out makes way for the next request of its key."""
+        while turn.waiting and turn.waiting[0].over and not turn.waiting[0].out:
+            turn.waiting.popleft()
+            if turn.waiting:
+                turn.waiting[0].turn_ns = turn.rest_ns
+                self._later(turn.rest_ns, "turn", turn)
+        if not turn.waiting:
+            self._later(turn.rest_ns, "turn", turn)  # forgotten once its rest is over
+
+    def _turn_due(self, turn: Turn, now: int) -> None:
+        if turn.waiting and turn.waiting[0].place == "turn" and turn.waiting[0].has_turn(now):
+            self._offer(turn.waiting[0], now)
+        elif not turn.waiting and now >= turn.rest_ns:
+            self.turns.pop(turn.key, None)
+
+    def _admit(self, r: Request, now: int) -> None:
+        r.place = ""
+        part = OVER_PART if r.tenant.over else LINE_PART  # over-share traffic is refused first
+        # A class with much time must not make the line too long for those with little.
+        spare = min(r.give_up_ns - now, self.patience_ns)
+        if r.pool.blocked_ns and len(r.pool.line) * SECOND > self.rate.served * spare * part:
+            self.rate.unplaced += 1  # the line is too long already: better said at once
+            self._refuse(r, now)
+            return
+        r.pool.line.append(r)
+        self._look_around(r, now)
+
+    def _look_around(self, r: Request, now: int) -> None:
+        r.place = "line"
+        if self.fleet.looks:
+            # Own counts say little where proxies are many: the drawn upstreams are asked, the request waits.
+            r.asked, r.asked_ns = list(dict.fromkeys(r.pool.draw(LOOKS, now))), now
+            self.actions += [api.Probe(s.id) for s in r.asked]
+            self._later(now + LOOK_NS, "look", r)
+
+    def _probed(self, e: api.ProbeResult, now: int) -> None:
+        server = self.fleet.servers.get(e.upstream)
+        if server is not None and e.report is not None:
+            server.load, server.load_ns = e.report.get("inflight", 0.0), now
+
+    def _outcome(self, e: api.Outcome, now: int) -> None:
+        server = self.fleet.servers.get(e.upstream)
+        r = self.requests.get(e.request)
+        if r is None or server is None or r.attempts[e.attempt].result is not None:
+            return
+        a = r.attempts[e.attempt]
+        a.result = e.result
+        fleet = self.fleet
+        self.out -= 1
+        self.stuck -= a.overdue
+        if e.result is api.Result.OK:
+            self.crowding.note(r, a, e.took_ns)
+            self.crowding.feel(e.took_ns / r.cls.aim_ns, bool(r.pool.blocked_ns), r.pool.width)
+            if not server.own:
+                self.guest += 0.2 * (min(5.0, e.took_ns / max(1.0, self.crowding.expected(r))) - self.guest)
+            self.rate.good += now <= r.aim_ns
+            self.rate.bad += now > r.aim_ns  # late is what a crowded fleet shows first
+            if server.strikes:
+                server.strikes = server.barred_ns = 0
+        elif e.result in (api.Result.FULL, api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET):
+            if e.result is api.Result.FULL or self.crowding.crowded():
+                self.crowding.feel(1.0, False, r.pool.width)
+            self.rate.bad += 1
+            busy = e.result in (api.Result.FULL, api.Result.TIMEOUT)
+            if e.result is api.Result.TIMEOUT:
+                self.crowding.crowd(a, e.took_ns)
+            fleet.bar(server, now, a.expected if busy else SECOND / 4)
+            self._later(server.barred_ns, "pump", None)
+        else:
+            self.rate.good += e.result is api.Result.ERROR
+        server.inflight -= 1
+        server.load = max(0.0, server.load - 1)
+        if r.turn and e.result in (api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED):
+            r.turn.rest_ns = now + self.settings.rules.turn_gap_ns
+        if e.complete:
+            self._end(r, now)
+        elif not r.over and not r.out and not r.begun:
+            self._again(r, now)
+        self._forget(r, now)
+
+    def _forget(self, r: Request, now: int) -> None:
+        if r.over and not r.out and r.id in self.requests:
+            del self.requests[r.id]
+            if r.turn:
+                self._pass_turn(r.turn, now)
+
+    def _again(self, r: Request, now: int) -> None:
+        """Nothing is out and nothing was served: another attempt, or the final answer."""
+        if r.attempts and any(r.may_send(s, now, self.settings.limits)
+                              for s in self._choices(r) or r.pool.order[:1]) and now < r.give_up_ns:
+            r.pool.line.appendleft(r)
+            self._look_around(r, now)
+        else:
+            self._refuse(r, now)
+
+    def _choices(self, r: Request) -> list[Server] | None:
+        """Where a request that may have run may go again; None: anywhere."""
+        first = next((a for a in r.attempts if a.may_have_run), None)
+        if first is None or r.cls.effect is api.Effect.SAFE or r.cls.scope is api.Scope.ALL:
+            return None
+        return [s for s in r.pool.order if r._same_group(s, first.server)]
+
+    def _refuse(self, r: Request, now: int) -> None:
+        """The final answer of a request that is not served: refused if that is true, else failed."""
+        if r.may_refuse():
+            limits = self.settings.limits
+            back = self.rng.uniform(0.25, 1.0) * min(limits.max_retry_after_ns, SECOND)
+            self.actions.append(api.Refuse(r.id, int(back) if limits.retry_after else 0))
+        else:
+            self.actions.append(api.Fail(r.id))
+        self._end(r, now)
+
+    def _end(self, r: Request, now: int) -> None:
+        if r.place == "held":
+            r.tenant.leave(r)
+        elif r.place == "line":
+            r.pool.line.remove(r)
+        r.place = ""
+        r.over = True
+        if self.settings.limits.may_cancel:
+            for i, a in enumerate(r.attempts):
+                if a.result is None:
+                    self.actions.append(api.Cancel(r.id, i))
+        self._forget(r, now)
+
+    def _list(self, e: api.ListUpdate, now: int) -> None:
+        if e.kind is api.ListKind.FAILED:
+            # Calls are spread and backed off: discovery does not grow with the fleet.
+            self.subscribed = False
+            self.failures += 1
+            wait = SECOND * min(8.0, 2.0 ** (self.failures - 1)) * self.rng.uniform(0.5, 1.5)
+            self._later(now + int(min(wait, self.settings.rules.ask_within_ns * 0.8)), "subscribe", None)
+        else:
+            self.failures = self.failures if e.kind is api.ListKind.CACHED else 0
+            self.fleet.learn(e, now)
+
+    def _look(self, what: str, about: Request | Throttle | Turn | None, extra: int, now: int) -> None:
+        if isinstance(about, Turn):
+            self._turn_due(about, now)
+        elif isinstance(about, Request):
+            if what == "give up" and about.place and now >= about.give_up_ns:
+                self.rate.unplaced += about.place == "line"
+                self._refuse(about, now)
+            elif what == "overdue":
+                self._overdue(about, extra, now)
+        elif what == "subscribe" and not self.subscribed:
+            self.subscribed = True
+            self.actions.append(api.Subscribe(True))
+        elif isinstance(about, Throttle):
+            about.waking = False
+            self._release(about, now)
+
+    def _release(self, t: Throttle, now: int) -> None:
+        for r in t.released(now):
+            self._admit(r, now)
+        if t.held and not t.waking:
+            t.waking = True
+            self._later(now + int((1 - t.credit) / t.rate * SECOND) + 1, "token", t)
+
+    def _overdue(self, r: Request, number: int, now: int) -> None:
+        """An attempt is out longer than its upstream should take: it may stand still."""
+        a = r.attempts[number]
+        if a.result is not None:
+            return
+        a.overdue = True
+        self.stuck += 1
+        self.fleet.bar(a.server, now, a.expected)
+        self._later(a.server.barred_ns, "pump", None)
+        if r.pool.line or now + a.expected > r.aim_ns:
+            return
+        server = r.pool.pick(now, self._choices(r))
+        if server and r.may_send(server, now, self.settings.limits) and r.tenant.spare(now):
+            self._send(r, server, now)
+
+    def _pump(self, now: int) -> None:
+        """Serve each line in order while an upstream has room."""
+        for pool in self.fleet.pools.values():
+            self._serve(pool, now)
+            if not pool.line:
+                pool.blocked_ns = 0
+
+    def _serve(self, pool: Pool, now: int) -> None:
+        fleet, limits = self.fleet, self.settings.limits
+        while pool.line:
+            r = pool.line[0]
+            pool.blocked_ns = pool.blocked_ns or now
+            # What stands still must not fill the window while other answers are quick; but where they are
+            # slow too, upstreams are crowded, and work whose answer is late still runs there.
+            window = max(1.0, self.crowding.window * pool.able(now))
+            freed = max(1.0, STUCK_PART * window) * (1 if self.crowding.crowded() else 2)
+            if self.out - min(self.stuck, freed) >= window:
+                break
+            if r.asked and now < r.asked_ns + LOOK_NS and any(s.load_ns < r.asked_ns for s in r.asked):
+                break
+            choices = self._choices(r) if r.attempts else None
+            fresh = [s for s in r.asked if s.load_ns >= r.asked_ns and fleet.fit(s, now)]
+            r.asked = []
+            server = pool.pick(now, fresh or choices)
+            left = (r.aim_ns - now) / self.crowding.each
+            full = fresh and server and server.load >= 1 and (server.load + 1.5) * server.pace > left
+            if full or (server is None and choices is not None):
+                # All that it may go to are busy, or would answer late: it must not stop the line.
+                self.rate.unplaced += 1
+                self._refuse(r, now)
+            elif server is not None:
+                pool.line.popleft()
+                r.place = ""
+                if r.may_send(server, now, limits):
+                    self._send(r, server, now)
+                else:
+                    self._refuse(r, now)
+            else:
+                break
+
+    def _send(self, r: Request, server: Server, now: int) -> None:
+        self.out += 1
+        server.inflight += 1
+        server.load += server.load_ns > 0
+        expected = max(1.0, self.crowding.expected(r) * server.pace)
+        r.attempts.append(Attempt(server, now, expected, max(server.load, server.inflight)))
+        if self.fleet.cold(server, now):
+            server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
+            self._later(server.barred_ns, "pump", None)
+        # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
+        timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
+        self.actions.append(api.Send(r.id, server.id, timeout))
+        overdue = now + int(expected * (1.3 + 3 * self.crowding.spread))
+        self._later(overdue, "overdue", r, len(r.attempts) - 1)
+
+    def _feedback(self, now: int) -> None:
+        self.checked_ns = now
+        fleet = self.fleet
+        # Reach beyond the home while the line waits and the upstreams there answer about as fast.
+        self.guest += 0.03 * (1.0 - self.guest)
+        for pool in fleet.pools.values():
+            if pool.blocked_ns and self.guest < 1.5 and pool.width < len(pool.order):
+                pool.width += 1
+            elif (not pool.blocked_ns or self.guest > 1.5) and pool.width > pool.home:
+                pool.width -= 1
+        self.rate.adjust(now, self.crowding.stress - self.crowding.ease)
+        fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.main.width) - fleet.borne)
+        for t in self.throttles.values():
+            self._release(t, now)
--- /dev/null
+++ b/tests/test_module.py
@@ -0,0 +1,34 @@
+"""The limits the users set for the module's text."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+LINES = (ROOT / "laureldeck" / "decide.py").read_text().splitlines()
+
+
+def test_length() -> None:
+    assert sum(bool(line.strip()) for line in LINES) <= 710
+    assert max(map(len, LINES)) <= 110
+
+
+def test_names_its_interface_at_the_top() -> None:
+    assert "laureldeck/interface.py" in " ".join(LINES[:3])
+
+
+def test_reads_no_clock_and_no_unseeded_chance() -> None:
+    text = "\n".join(LINES)
+    assert "import time" not in text and "from time" not in text
+    assert not [line for line in LINES if "random." in line and "random.Random" not in line
+                and "rng.random" not in line]
+
+
+def test_the_example_of_the_readme_runs(capsys: pytest.CaptureFixture[str]) -> None:
+    found = re.search(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
+    assert found
+    exec(found.group(1), {})
+    assert "send r1 to" in capsys.readouterr().out
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,606 @@
+"""Each rule's cases through the module's interface, and random legal days against the checker."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hyp
+from hypothesis import strategies as st
+
+from laureldeck import interface as api
+from laureldeck.decide import Balancer
+from tests.bench import (
+    ANY,
+    BIG,
+    CELL,
+    MS,
+    PAY,
+    READ,
+    ROW,
+    SECOND,
+    START,
+    WEST,
+    Desk,
+    arrival,
+    check_cold_budget,
+    of,
+    places,
+    settings,
+    upstreams,
+)
+
+
+def test_served_request_needs_nothing_more() -> None:
+    desk = Desk()
+    assert len(of(api.Send, desk.give(arrival(1, desk.now)))) == 1
+    assert not of(api.Fail, desk.finish("r1")) and desk.answer["r1"] == "served"
+
+
+@pytest.mark.parametrize("cls", [READ, PAY, CELL, ANY])
+def test_no_server_known_is_refused_in_time(cls: api.RequestClass) -> None:
+    desk = Desk(servers=0)
+    desk.give(api.ListUpdate(api.ListKind.CACHED), arrival(1, desk.now, cls))
+    desk.advance(600 * MS)
+    assert desk.answer["r1"] == "refused"
+
+
+def test_all_draining_is_refused_in_time() -> None:
+    desk = Desk()
+    desk.give(api.ListUpdate(api.ListKind.DELTA, [u._replace(state=api.State.DRAINING)
+                                                  for u in upstreams(6)]))
+    desk.give(arrival(1, desk.now, PAY))
+    desk.advance(600 * MS)
+    assert desk.answer["r1"] == "refused" and "r1" not in desk.sends
+
+
+def test_timeout_at_the_deadline_of_an_unsafe_request_is_failed() -> None:
+    desk = Desk()
+    desk.give(arrival(1, desk.now, PAY))
+    desk.advance(600 * MS)
+    assert desk.answer["r1"] == "failed" and len(desk.sends["r1"]) == 1
+
+
+@pytest.mark.parametrize("result", [api.Result.FULL, api.Result.CONNECT_FAILED])
+def test_unsafe_request_that_never_ran_is_sent_again(result: api.Result) -> None:
+    desk = Desk()
+    desk.give(arrival(1, desk.now, PAY))
+    desk.now += MS
+    desk.finish("r1", result)
+    assert len(desk.sends["r1"]) == 2
+
+
+@pytest.mark.parametrize("result", [api.Result.ERROR, api.Result.RESET, api.Result.CANCELLED])
+def test_unsafe_request_that_may_have_run_is_failed(result: api.Result) -> None:
+    desk = Desk()
+    desk.give(arrival(1, desk.now, PAY))
+    desk.now += MS
+    desk.finish("r1", result)
+    assert desk.answer["r1"] == "failed"
+
+
+def test_attempts_are_capped() -> None:
+    desk = Desk()
+    desk.give(arrival(1, desk.now, READ))
+    for _ in range(3):
+        desk.now += MS
+        if "r1" not in desk.answer:
+            desk.finish("r1", api.Result.FULL)
+    desk.advance(600 * MS)
+    assert desk.answer["r1"] == "refused" and len(desk.sends["r1"]) <= 3
+
+
+def test_an_exhausted_request_among_a_stalled_line_is_answered() -> None:
+    desk = Desk(servers=1)
+    for i in range(30):
+        desk.give(arrival(i, desk.now))
+    desk.advance(700 * MS)
+    assert len(desk.answer) == 30
+
+
+def test_a_short_deadline_is_answered_though_the_line_is_blocked() -> None:
+    # Guards against a wake that comes a little early being taken for an old one: no timer was ever set again.
+    desk = Desk(servers=1)
+    desk.give(arrival(1, desk.now))
+    for i in range(2, 40):
+        desk.give(arrival(i, desk.now, wait_ns=3 * MS))
+        early = [t for t in desk.timers]
+        desk.timers = [(at - 300, name) for at, name in early]
+        desk.advance(30 * MS, step_ns=MS)
+    desk.advance(SECOND)
+    assert len(desk.answer) == 39
+
+
+def test_drained_upstream_gets_nothing_new() -> None:
+    desk = Desk()
+    desk.give(api.ListUpdate(api.ListKind.DELTA, [u._replace(state=api.State.DRAINING)
+                                                  for u in upstreams(5)]))
+    for i in range(20):
+        desk.give(arrival(i, desk.now))
+        desk.advance(20 * MS)
+        for request, number in desk.out():
+            desk.finish(request, number=number)
+    assert {u.id for sent in desk.sends.values() for u, _ in sent} == {6}
+
+
+def test_missing_from_a_full_list_is_gone() -> None:
+    desk = Desk()
+    desk.give(api.ListUpdate(api.ListKind.FULL, upstreams(1)))
+    for i in range(5):
+        desk.give(arrival(i, desk.now))
+        desk.finish(f"r{i}")
+    assert {u.id for sent in desk.sends.values() for u, _ in sent} == {1}
+
+
+def test_cold_upstreams_get_one_request_at_a_time() -> None:
+    desk = Desk(servers=0)
+    desk.give(api.ListUpdate(api.ListKind.CACHED, upstreams(4, started_ns=START - MS)))
+    for i in range(40):
+        desk.give(arrival(i, desk.now))
+        desk.advance(5 * MS)
+        held: dict[int, int] = {}
+        for request, number in desk.out():
+            upstream = desk.sends[request][number][0].id
+            held[upstream] = held.get(upstream, 0) + 1
+        assert max(held.values(), default=0) <= 1
+
+
+def test_cold_upstreams_share_a_budget_over_the_proxies() -> None:
+    # Guards against forty proxies that each send a cold upstream a little, and together push it over.
+    sent = []
+    for proxies in (1, 40):
+        desk = Desk(settings(replicas_of_me=proxies), servers=0)
+        desk.give(api.ListUpdate(api.ListKind.CACHED, upstreams(6, started_ns=START - MS)))
+        for i in range(100):
+            desk.give(arrival(i, desk.now))
+            desk.advance(5 * MS)
+            for request, number in desk.out():
+                desk.finish(request, number=number)
+        sent.append(sum(map(len, desk.sends.values())))
+    assert sent[1] < sent[0] / 2
+
+
+def probing(servers: int = 6) -> Desk:
+    limits = api.Limits(max_attempts=3, probes=True, may_cancel=True)
+    return Desk(settings(limits=limits, report_columns=("inflight", "queue")), servers=servers)
+
+
+def test_asks_the_drawn_upstreams_and_sends_to_the_lightest() -> None:
+    # With many proxies own counts say little: the upstreams' own word decides.
+    desk = probing()
+    asked = [a.upstream for a in desk.give(arrival(1, desk.now)) if isinstance(a, api.Probe)]
+    assert asked and "r1" not in desk.sends
+    desk.now += MS
+    desk.give(*(api.ProbeResult(u, api.Result.OK, MS, {"inflight": float(i)}) for i, u in enumerate(asked)))
+    assert desk.sends["r1"][0][0].id == asked[0]
+
+
+def test_does_not_wait_for_a_lost_report() -> None:
+    desk = probing()
+    desk.give(arrival(1, desk.now))
+    desk.advance(20 * MS)
+    assert len(desk.sends["r1"]) == 1
+
+
+def test_refuses_when_all_asked_upstreams_would_answer_late() -> None:
+    desk = probing()
+    asked = [a.upstream for a in desk.give(arrival(1, desk.now)) if isinstance(a, api.Probe)]
+    desk.now += MS
+    desk.give(*(api.ProbeResult(u, api.Result.OK, MS, {"inflight": 500.0}) for u in asked))
+    assert desk.answer["r1"] == "refused"
+
+
+def test_an_idle_upstream_is_never_too_slow_to_try() -> None:
+    # Guards against refusing on a quiet day because one heavy request made an upstream look slow.
+    desk = probing(servers=1)
+    desk.balancer.fleet.servers[1].pace = 9.0
+    desk.give(arrival(1, desk.now, wait_ns=100 * MS))
+    desk.give(api.ProbeResult(1, api.Result.OK, MS, {"inflight": 0.0}))
+    assert len(desk.sends["r1"]) == 1
+
+
+def test_dear_or_blind_probes_are_not_used() -> None:
+    limits = api.Limits(max_attempts=3, probes=True)
+    dear = settings(limits=limits, report_columns=("inflight",), prices=api.Prices(probe=0.05))
+    for config in (dear, settings(limits=limits, report_columns=("util",))):
+        desk = Desk(config)
+        desk.give(arrival(1, desk.now))
+        assert "r1" in desk.sends and not of(api.Probe, desk.log)
+
+
+def test_what_stands_still_together_is_one_strike() -> None:
+    # Guards against a pause of one upstream, seen by all its requests, barring it for seconds.
+    desk = Desk(servers=1)
+    for i in range(6):
+        desk.give(arrival(i, desk.now, wait_ns=100 * MS))
+    desk.advance(150 * MS)
+    server = desk.balancer.fleet.servers[1]
+    assert server.strikes <= 2
+
+
+def test_an_attempt_ends_at_the_aim_where_late_is_worth_nothing() -> None:
+    desk = Desk()
+    sends = [a for a in desk.give(arrival(1, desk.now, READ)) if isinstance(a, api.Send)]
+    assert sends[0].timeout_ns == READ.aim_ns
+
+
+def test_every_upstream_is_in_some_home() -> None:
+    # Each proxy takes its own stretch of one ring that all compute alike.
+    homes: list[int] = []
+    for me in range(10):
+        b = Balancer(settings(me=me, replicas_of_me=10), 1, START)
+        b.handle(START, [api.ListUpdate(api.ListKind.FULL, upstreams(100))])
+        homes += [s.id for s in b.fleet.main.order[:b.fleet.main.home]]
+    assert sorted(homes) == list(range(1, 101))
+
+
+def test_homes_are_shared_by_few_proxies() -> None:
+    # Incident ib66e0d: in everybody's home an upstream holds what nobody's own count shows.
+    sizes = {}
+    for proxies in (3, 20, 400):
+        b = Balancer(settings(me=1, replicas_of_me=proxies), 1, START)
+        b.handle(START, [api.ListUpdate(api.ListKind.FULL, upstreams(30))])
+        sizes[proxies] = b.fleet.main.home
+    assert sizes == {3: 10, 20: 9, 400: 4}
+
+
+def test_a_limit_does_not_run_away_before_the_first_answers() -> None:
+    # Incident i4eb9e9: the line waited at the start, each limit looked good before its requests were done.
+    desk = Desk(settings(replicas_of_me=20))
+    for i in range(300):
+        desk.give(arrival(i, desk.now))
+        desk.now += MS // 10
+    assert len(desk.out()) <= 3
+
+
+def test_all_proxies_together_start_with_a_few_requests_for_each_upstream() -> None:
+    # Incident i9559ec: two requests a proxy, of 279 proxies, choked 42 upstreams in their first seconds.
+    for proxies in (1, 10, 100, 400):
+        desk = Desk(settings(replicas_of_me=proxies), servers=40)
+        desk.give(*(arrival(i, desk.now) for i in range(400)))
+        assert len(desk.out()) * proxies / 40 <= 8 + proxies / 40
+
+
+def feed(desk: Desk, took_ns: int, count: int = 40) -> None:
+    """So many requests, one after another, that each take this long."""
+    for i in range(count):
+        ident = f"{desk.now}-{i}"
+        desk.give(arrival(ident, desk.now))
+        desk.advance(took_ns)
+        if f"r{ident}" in desk.sends and (f"r{ident}", 0) in desk.out():
+            desk.finish(f"r{ident}", number=0)
+
+
+def test_slow_answers_narrow_the_window_and_quick_ones_bring_it_back() -> None:
+    desk = Desk(settings(replicas_of_me=10))
+    start = desk.balancer.crowding.window
+    feed(desk, 280 * MS)
+    narrow = desk.balancer.crowding.window
+    feed(desk, 20 * MS, 200)
+    assert narrow < start and narrow < desk.balancer.crowding.window
+
+
+def test_lost_answers_do_not_bring_the_rate_down() -> None:
+    # Bergen's lost-answer days: R went down for ever though the answers that came were quick.
+    desk = Desk(settings(replicas_of_me=10, limits=api.Limits(max_attempts=1)))
+    for i in range(400):
+        desk.give(arrival(i, desk.now, PAY))
+        desk.advance(50 * MS)
+        for request, number in desk.out():
+            if int(request.removeprefix("r")) % 5:
+                desk.finish(request, number=number)
+    assert desk.balancer.rate.value > 50
+
+
+def test_what_stands_still_leaves_room_but_not_the_whole_window() -> None:
+    # One silent upstream must not stop all others; a fleet of slow ones must not let the window leak.
+    for stress, more in ((1.0, 1), (0.1, 2)):
+        desk = Desk(settings(replicas_of_me=16), servers=4)  # a window of two
+        desk.give(*(arrival(i, desk.now) for i in range(10)))
+        assert len(desk.out()) == 2
+        desk.balancer.stuck, desk.balancer.crowding.stress = 2, stress
+        desk.give()
+        assert len(desk.out()) == 2 + more
+
+
+def test_a_class_with_much_time_keeps_the_line_short_for_one_with_little() -> None:
+    # Incident i31aba8: requests with two seconds to spare filled the line, and quick ones never got in.
+    slow = api.RequestClass("slow", api.Effect.SAFE, aim_ns=20 * SECOND)
+    desk = Desk(settings(classes={"slow": slow, "read": READ}, replicas_of_me=20), servers=1)
+    for i in range(200):
+        desk.give(arrival(i, desk.now, slow, wait_ns=20 * SECOND))
+        desk.advance(10 * MS)
+        for request, number in desk.out():
+            if desk.now - desk.sends[request][number][1] >= 50 * MS:
+                desk.finish(request, number=number)
+    assert len(desk.balancer.fleet.main.line) < 20 and "refused" in desk.answer.values()
+
+
+def test_the_first_answers_count_more() -> None:
+    # Incident i530c5f: with two requests a second, what a request takes was known only after many seconds.
+    desk = Desk()
+    for i in range(3):
+        desk.give(arrival(i, desk.now))
+        desk.now += 100 * MS
+        desk.finish(f"r{i}")
+    assert abs(desk.balancer.crowding.each - 100 * MS) < 10 * MS
+
+
+def test_a_tenant_over_its_share_is_found_out() -> None:
+    desk = Desk(settings(replicas_of_me=20), servers=1)
+    for i in range(600):
+        desk.give(arrival(i, desk.now, tenant="birch" if i % 10 == 0 else "ash"))
+        desk.advance(5 * MS)
+        for request, number in desk.out():
+            if desk.now - desk.sends[request][number][1] >= 50 * MS:
+                desk.finish(request, number=number)
+    assert desk.balancer.throttles["ash"].over and not desk.balancer.throttles["birch"].over
+
+
+def test_client_gone_ends_the_request() -> None:
+    desk = Desk()
+    desk.give(arrival(1, desk.now), api.ClientGone("r1"), api.ClientGone("r1"), api.ClientGone("unknown"))
+    desk.advance(600 * MS)
+    assert desk.answer["r1"] == "gone"
+
+
+def test_late_and_unknown_outcomes_are_harmless() -> None:
+    desk = Desk()
+    desk.give(arrival(1, desk.now))
+    late = desk.result("r1", 0, api.Result.OK)
+    desk.give(late)
+    desk.balancer.handle(desk.now, [late, late._replace(request="unknown"), late._replace(upstream=99)])
+
+
+def test_ask_mode_subscribes_and_backs_off() -> None:
+    desk = Desk(settings(discovery_push=False))
+    assert not of(api.Subscribe, desk.log)
+    desk.advance(5 * SECOND)
+    assert len(of(api.Subscribe, desk.log)) == 1
+    gaps, last = [], desk.now
+    for _ in range(4):
+        desk.give(api.ListUpdate(api.ListKind.FAILED))
+        before = len(of(api.Subscribe, desk.log))
+        while len(of(api.Subscribe, desk.log)) == before:
+            desk.advance(50 * MS)
+            assert desk.now - last < 20 * SECOND
+        gaps.append(desk.now - last)
+        last = desk.now
+    assert gaps[0] < gaps[2] and max(gaps) <= desk.config.rules.ask_within_ns
+
+
+def test_spread_of_first_calls() -> None:
+    delays = set()
+    for seed in range(10):
+        b = Balancer(settings(discovery_push=False), seed, START)
+        delays |= {a.delay_ns // (50 * MS) for a in b.handle(START, []) if isinstance(a, api.SetTimer)}
+    assert len(delays) > 5
+
+
+def test_push_mode_never_calls_discovery() -> None:
+    desk = Desk()
+    desk.advance(5 * SECOND)
+    assert not of(api.Subscribe, desk.log)
+
+
+def test_no_tenants_and_unknown_class_work() -> None:
+    desk = Desk(settings(tenants={}))
+    desk.give(arrival(1, desk.now, tenant=""))
+    desk.finish("r1")
+    b = Balancer(api.Settings(), 1, START)
+    b.handle(START, [api.ListUpdate(api.ListKind.FULL, upstreams(2)),
+                     api.Arrival("x", "never-named", "nobody", START + SECOND)])
+
+
+def test_retry_after_is_jittered() -> None:
+    desk = Desk(servers=0)
+    desk.give(*(arrival(i, desk.now) for i in range(30)))
+    desk.advance(600 * MS)
+    told = {a.retry_after_ns for a in desk.log if isinstance(a, api.Refuse)}
+    assert len(told) > 20
+
+
+RESULTS = [api.Result.OK] * 6 + [r for r in api.Result if r is not api.Result.TIMEOUT]
+
+
+@hyp(derandomize=True, deadline=None, max_examples=120)
+@given(st.integers(0, 10**6), st.booleans(), st.booleans(), st.integers(1, 9))
+def test_random_days_keep_the_rules(seed: int, copies: bool, push: bool, servers: int) -> None:
+    rng = random.Random(seed)
+    limits = api.Limits(max_attempts=rng.choice([1, 2, 3, 5]), second_copies=copies,
+                        may_cancel=rng.random() < 0.7, retry_after=True, probes=True, peers=True)
+    desk = Desk(settings(limits=limits, discovery_push=push, replicas_of_me=rng.choice([1, 3, 40])),
+                seed, servers)
+    pool = places(servers)
+    desk.give(api.ListUpdate(api.ListKind.FULL, pool))
+    for number in range(rng.randint(5, 120)):
+        for _ in range(rng.choice([0, 1, 1, 2, 12])):
+            cls = rng.choice([READ, PAY, CELL, ANY, ROW, ROW, WEST, BIG])
+            ident = f"{number}-{rng.random()}"
+            desk.give(arrival(ident, desk.now, cls, rng.choice(["ash", "birch"]),
+                              rng.choice([2, 40, 300, 900]) * MS, rng.random() < 0.2,
+                              rng.choice(["", "k1", "k2"])))
+        for request, attempt in desk.out():
+            if rng.random() < 0.4:
+                desk.give(desk.result(request, attempt, rng.choice(RESULTS)))
+        if rng.random() < 0.1:
+            open_ones = [r for r in desk.cls if r not in desk.answer]
+            if open_ones:
+                desk.give(api.ClientGone(rng.choice(open_ones)))
+        if rng.random() < 0.1:
+            i = rng.randrange(len(pool))
+            started = desk.now if rng.random() < 0.5 else pool[i].started_ns
+            pool[i] = pool[i]._replace(state=rng.choice(list(api.State)), started_ns=started)
+            kind = rng.choice([api.ListKind.DELTA, api.ListKind.FULL, api.ListKind.CACHED])
+            desk.give(api.ListUpdate(kind, [pool[i]] if kind is api.ListKind.DELTA else pool))
+        if not push and rng.random() < 0.05:
+            desk.give(api.ListUpdate(api.ListKind.FAILED))
+        desk.advance(rng.choice([0, 1, 10, 50]) * MS)
+    desk.advance(2 * SECOND)
+    assert set(desk.answer) == set(desk.cls)
+
+
+# ---- placement (rule 6) --------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("cls", "ids"), [(WEST, {1, 3, 5}), (BIG, {1, 4, 5})])
+def test_a_restricted_class_goes_only_where_it_may(cls: api.RequestClass, ids: set[int]) -> None:
+    desk = Desk(servers=0)
+    desk.give(api.ListUpdate(api.ListKind.FULL, places(6)))
+    for i in range(60):
+        desk.give(arrival(i, desk.now, cls))
+        desk.advance(5 * MS)
+        for request, number in desk.out():
+            desk.finish(request, number=number)
+    assert {u.id for sent in desk.sends.values() for u, _ in sent} == ids
+
+
+def test_a_restricted_class_waits_and_is_refused_while_others_go_on() -> None:
+    # The only allowed upstreams fail: nothing of that class may go elsewhere, nor hold up what can.
+    desk = Desk(servers=0)
+    desk.give(api.ListUpdate(api.ListKind.FULL, places(6)))
+    for i in range(40):
+        desk.give(arrival(f"w{i}", desk.now, WEST), arrival(f"a{i}", desk.now, READ))
+        desk.advance(10 * MS)
+        for request, number in desk.out():
+            west = desk.sends[request][number][0].zone == "west"
+            desk.finish(request, api.Result.CONNECT_FAILED if west else api.Result.OK, number)
+    desk.advance(SECOND)
+    assert all(desk.answer[f"rw{i}"] == "refused" for i in range(40))
+    assert sum(desk.answer[f"ra{i}"] == "served" for i in range(40)) > 30
+
+
+def test_no_allowed_upstream_listed_is_refused_at_once() -> None:
+    desk = Desk()  # all in the zone east
+    tokens = desk.balancer.throttles["ash"].u
+    desk.give(arrival(1, desk.now, WEST))
+    assert desk.answer["r1"] == "refused" and desk.balancer.throttles["ash"].u == tokens
+
+
+# ---- order (rule 5) ------------------------------------------------------------------------------------
+
+
+def test_one_key_runs_one_at_a_time_and_other_keys_go_on() -> None:
+    desk = Desk()
+    desk.give(arrival(1, desk.now, ROW, key="k"), arrival(2, desk.now, ROW, key="k"),
+              arrival(3, desk.now, ROW, key="other"), arrival(4, desk.now, ROW))
+    for number in (1, 3, 4):
+        desk.advance(10 * MS)
+        desk.finish(f"r{number}")
+    desk.advance(10 * MS)
+    assert list(desk.sends) == ["r1", "r3", "r4", "r2"] or list(desk.sends) == ["r1", "r3", "r2", "r4"]
+
+
+@pytest.mark.parametrize(("result", "rests"), [
+    (api.Result.OK, False), (api.Result.ERROR, False), (api.Result.RESET, True), (api.Result.TIMEOUT, True)])
+def test_a_key_rests_only_after_what_may_still_run(result: api.Result, rests: bool) -> None:
+    limits = api.Limits(max_attempts=1)
+    desk = Desk(settings(limits=limits))
+    desk.give(arrival(1, desk.now, ROW, key="k"), arrival(2, desk.now, ROW, key="k"))
+    desk.now += MS
+    desk.finish("r1", result)
+    desk.advance(20 * MS)
+    assert ("r2" not in desk.sends) == rests
+    desk.advance(100 * MS)
+    assert "r2" in desk.sends
+
+
+def test_a_client_gone_with_an_attempt_out_still_holds_its_turn() -> None:
+    desk = Desk(settings(limits=api.Limits(max_attempts=2)))
+    desk.give(arrival(1, desk.now, ROW, key="k"), arrival(2, desk.now, ROW, key="k"))
+    desk.give(api.ClientGone("r1"))
+    desk.advance(100 * MS)
+    assert "r2" not in desk.sends
+    desk.finish("r1", api.Result.ERROR)
+    desk.advance(10 * MS)
+    assert "r2" in desk.sends
+
+
+def test_who_waits_for_a_turn_spends_no_token_and_is_answered() -> None:
+    desk = Desk()
+    desk.give(arrival(0, desk.now, ROW, key="k"))
+    before = desk.balancer.throttles["ash"].u
+    desk.give(*(arrival(i, desk.now, ROW, key="k") for i in range(1, 20)))
+    assert desk.balancer.throttles["ash"].u == before
+    desk.advance(600 * MS)
+    assert len(desk.answer) == 20
+
+
+def test_nothing_is_kept_of_a_key_after_its_last_use() -> None:
+    desk = Desk()
+    for i in range(50):
+        desk.give(arrival(i, desk.now, ROW, key=f"k{i}"))
+        desk.advance(10 * MS)
+        if i % 2 and f"r{i}" in desk.sends:
+            desk.finish(f"r{i}")
+    desk.advance(2 * SECOND)
+    assert not desk.balancer.turns and not desk.balancer.requests
+
+
+# ---- cold upstreams (rule 4), over several proxies -----------------------------------------------------
+
+
+def test_proxies_that_hear_of_a_start_together_do_not_push_it_over() -> None:
+    # Incident i604f4b: each kept its gap, but all sent their first request the moment they heard of it.
+    desks = [Desk(settings(me=me, replicas_of_me=40), seed=me, servers=4) for me in range(40)]
+    for desk in desks:
+        for i in range(40):  # what a warm upstream bears is seen first: 50 ms a request
+            desk.give(arrival(f"w{i}", desk.now))
+            desk.advance(50 * MS)
+            for request, number in desk.out():
+                desk.finish(request, number=number)
+    started = desks[0].now
+    for desk in desks:
+        desk.give(api.ListUpdate(api.ListKind.FULL, upstreams(4) + upstreams(1, 9, started)))
+    waits = {desk.balancer.fleet.servers[9].barred_ns - started for desk in desks}
+    assert len(waits) == len(desks) and max(waits) > 100 * MS
+    for i in range(80):
+        for desk in desks:
+            desk.give(*(arrival(f"c{i}-{j}", desk.now) for j in range(2)))
+            desk.advance(50 * MS)
+            for request, number in desk.out():
+                desk.finish(request, number=number)
+    sends = sorted(t for desk in desks for sent in desk.sends.values() for u, t in sent if u.id == 9)
+    assert sum(t < started + 3 * SECOND for t in sends) > 5
+    check_cold_budget(sends, started, desks[0].config.rules, 40 * 20 / 4)
+
+
+# ---- the checker itself --------------------------------------------------------------------------------
+
+
+def breach(desk: Desk, *actions: api.Action) -> None:
+    with pytest.raises(AssertionError):
+        for action in actions:
+            desk._action(action)
+
+
+def test_the_checker_sees_a_breach_of_each_rule() -> None:
+    def fresh(*events: api.Event) -> Desk:
+        desk = Desk(settings(limits=api.Limits(max_attempts=3)), servers=0)
+        for e in (api.ListUpdate(api.ListKind.FULL, places(6)), *events):
+            desk._event(e)
+        return desk
+
+    one, pay = arrival(1, START), arrival(1, START, PAY)
+    breach(fresh(one), api.Refuse("r1"), api.Send("r1", 1))  # 1: sent after its end
+    breach(fresh(one), api.Refuse("r1"), api.Fail("r1"))  # 1: two answers
+    breach(fresh(one), api.Send("r1", 1), api.Send("r1", 2))  # 2: two out, copies not allowed
+    ran = fresh(pay)
+    ran._action(api.Send("r1", 1))
+    ran.results["r1", 0] = api.Result.ERROR
+    breach(ran, api.Refuse("r1"))  # 2: refused though it may have run
+    breach(ran, api.Send("r1", 2))  # 2: unsafe and sent again
+    drains = fresh(one, api.ListUpdate(api.ListKind.DELTA, [places(1)[0]._replace(state=api.State.DRAINING)]))
+    breach(drains, api.Send("r1", 1))  # 3
+    with pytest.raises(AssertionError):  # 4
+        check_cold_budget([START + i * MS for i in range(60)], START, api.Rules(cold_ns=SECOND), 10.0)
+    row = [arrival(i, START, ROW, key="k") for i in (1, 2)]
+    breach(fresh(*row), api.Send("r2", 1))  # 5: before its turn
+    rests = fresh(*row)
+    rests._action(api.Send("r1", 1))
+    rests._event(rests.result("r1", 0, api.Result.RESET))
+    rests._action(api.Fail("r1"))
+    breach(rests, api.Send("r2", 1))  # 5: its key rests
+    breach(fresh(arrival(1, START, WEST)), api.Send("r1", 2))  # 6: zone
+    breach(fresh(arrival(1, START, BIG)), api.Send("r1", 2))  # 6: kind
--- /dev/null
+++ b/tests/test_throttle.py
@@ -0,0 +1,108 @@
+"""The throttle against the paper's recursion (2.5)-(2.11) and Theorem 3.1."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from laureldeck import interface as api
+from laureldeck.decide import Balancer, Request, Throttle
+from tests.bench import MS, READ, SECOND
+
+
+def throttle(bank: int, hold: int, u: int, rate: float = 1.0) -> Throttle:
+    t = Throttle(1.0, random.Random(1), 0)
+    t.bank, t.hold, t.u, t.rate, t.credit, t.at = bank, hold, u, rate, 0.0, 0
+    return t
+
+
+def request(number: int, t: Throttle) -> Request:
+    return Request(f"r{number}", READ, t, Balancer(api.Settings(), 1, 0).fleet.main, 10**15, 10**15, 0)
+
+
+def play(t: Throttle, steps: list[int]) -> tuple[list[int], list[int], list[str]]:
+    """At each second: one token, then that many requests. Gives U, the overflows so far, the order sent."""
+    path, lost, sent = [], [], []
+    overflow = count = 0
+    for second, arrivals in enumerate(steps, 1):
+        now = second * SECOND
+        sent += [r.id for r in t.released(now)]
+        for _ in range(arrivals):
+            count += 1
+            r = request(count, t)
+            answer = t.offer(r, now)
+            overflow += answer is False
+            if answer is True:
+                sent.append(r.id)
+        path.append(t.u)
+        lost.append(overflow)
+    return path, lost, sent
+
+
+def recursion(total: int, u: int, steps: list[int]) -> tuple[list[int], list[int]]:
+    """(2.8) and (2.10), a token epoch and then the requests one by one."""
+    path, lost, overflow = [], [], 0
+    for arrivals in steps:
+        u = min(total, u + 1)
+        for _ in range(arrivals):
+            x = -1
+            after = min(total, max(0, u + x))
+            overflow += -(x - (after - u))
+            u = after
+        path.append(u)
+        lost.append(overflow)
+    return path, lost
+
+
+STEPS = st.lists(st.integers(0, 5), max_size=60)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(0, 6), st.integers(1, 6), STEPS)
+def test_counter_follows_the_recursion(bank: int, hold: int, steps: list[int]) -> None:
+    t = throttle(bank, hold, bank + hold)
+    path, lost, _ = play(t, steps)
+    assert (path, lost) == recursion(bank + hold, bank + hold, steps)
+    assert len(t.held) == max(0, hold - t.u)  # (2.3)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(2, 8), st.data(), STEPS)
+def test_overflow_depends_on_the_sum_of_the_capacities_only(total: int, data: st.DataObject,
+                                                             steps: list[int]) -> None:
+    a, b = (data.draw(st.integers(1, total)) for _ in "ab")
+    u = data.draw(st.integers(max(a, b), total))
+    assert play(throttle(total - a, a, u), steps)[:2] == play(throttle(total - b, b, u), steps)[:2]
+
+
+@settings(derandomize=True, deadline=None)
+@given(STEPS)
+def test_held_requests_leave_in_order(steps: list[int]) -> None:
+    _, _, sent = play(throttle(1, 4, 5), steps)
+    assert sent == sorted(sent, key=lambda r: int(r[1:]))
+
+
+def test_a_held_request_that_ends_gives_its_token_back() -> None:
+    t = throttle(0, 2, 2)
+    first, second = request(1, t), request(2, t)
+    assert t.offer(first, 0) is None and t.offer(second, 0) is None
+    t.leave(first)
+    assert list(t.released(SECOND)) == [second] and t.u == 2
+
+
+def test_change_of_rate_keeps_tokens_and_held() -> None:
+    t = throttle(0, 2, 2)
+    r = request(1, t)
+    assert t.offer(r, 0) is None
+    t.set_rate(100.0, 0)
+    assert t.hold - t.u == 1 and list(t.held) == [r]
+    assert list(t.released(20 * MS)) == [r]
+
+
+def test_starts_full_and_ticks_out_of_step() -> None:
+    throttles = [Throttle(1.0, random.Random(seed), 0) for seed in range(20)]
+    for t in throttles:
+        assert t.u == t.bank + t.hold
+    assert len({round(t.credit, 3) for t in throttles}) > 10
