--- /dev/null
+++ b/lanelift/__init__.py
@@ -0,0 +1,1 @@
+"""lanelift: the decisions of an HTTP load balancer run as a bank of proxies."""
--- a/laureldeck/decide.py
+++ b/lanelift/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of laureldeck. The types it takes and gives are in `laureldeck/interface.py`.
+"""Every decision of lanelift. The types it takes and gives are in `lanelift/interface.py`.
 
 A request passes its tenant's Throttle, may wait in its pool's line, and goes to the lightest upstream drawn.
 """
@@ -12,7 +12,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from laureldeck import interface as api
+from lanelift import interface as api
 
 SECOND = 1_000_000_000
 DRAWS = 2  # random draws beside the previous winner
--- a/laureldeck/wirehost.py
+++ b/lanelift/wirehost.py
@@ -1,6 +1,6 @@
 """The adapter: hosts many balancers on the simulator's wire. It translates and decides nothing.
 
-    python -m laureldeck.wirehost < batches > replies
+    python -m lanelift.wirehost < batches > replies
 
 One JSON object a line each way. A line that is not a batch ends the process with a message on standard
 error and exit status 2; an exception inside a balancer is reported as that balancer's `fault`.
@@ -15,8 +15,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from laureldeck import interface as api
-from laureldeck.decide import Balancer
+from lanelift import interface as api
+from lanelift.decide import Balancer
 
 Json = dict[str, Any]
 
--- a/laureldeck/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""laureldeck: the decisions of an HTTP load balancer run as a bank of proxies."""
--- a/tests/bench.py
+++ b/tests/bench.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Iterable
 
-from laureldeck import interface as api
-from laureldeck.decide import Balancer
+from lanelift import interface as api
+from lanelift.decide import Balancer
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -8,7 +8,7 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-LINES = (ROOT / "laureldeck" / "decide.py").read_text().splitlines()
+LINES = (ROOT / "lanelift" / "decide.py").read_text().splitlines()
 
 
 def test_length() -> None:
@@ -17,7 +17,7 @@
 
 
 def test_names_its_interface_at_the_top() -> None:
-    assert "laureldeck/interface.py" in " ".join(LINES[:3])
+    assert "lanelift/interface.py" in " ".join(LINES[:3])
 
 
 def test_reads_no_clock_and_no_unseeded_chance() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,8 +9,8 @@
 from hypothesis import settings as hyp
 from hypothesis import strategies as st
 
-from laureldeck import interface as api
-from laureldeck.decide import Balancer
+from lanelift import interface as api
+from lanelift.decide import Balancer
 from tests.bench import (
     ANY,
     BIG,
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from laureldeck import interface as api
-from laureldeck.decide import Balancer, Request, Throttle
+from lanelift import interface as api
+from lanelift.decide import Balancer, Request, Throttle
 from tests.bench import MS, READ, SECOND
 
 
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from laureldeck import interface as api
-from laureldeck.decide import Balancer
-from laureldeck.wirehost import Host, read_settings, read_upstream
+from lanelift import interface as api
+from lanelift.decide import Balancer
+from lanelift.wirehost import Host, read_settings, read_upstream
 
 Json = dict[str, Any]
 SETTINGS: Json = {
@@ -27,7 +27,7 @@
 
 
 def run(lines: list[str], hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "laureldeck.wirehost"],
+    return subprocess.run([sys.executable, "-m", "lanelift.wirehost"],
                           input="".join(f"{x}\n" for x in lines), capture_output=True, text=True,
                           timeout=60, check=False,
                           env={**os.environ, "PYTHONHASHSEED": hash_seed})
@@ -103,7 +103,7 @@
 
 
 def test_bad_utf_8_is_malformed() -> None:
-    done = subprocess.run([sys.executable, "-m", "laureldeck.wirehost"], input=b'{"round": "\xff"}\n',
+    done = subprocess.run([sys.executable, "-m", "lanelift.wirehost"], input=b'{"round": "\xff"}\n',
                           capture_output=True, timeout=60, check=False)
     assert done.returncode == 2 and b"line 1: not JSON" in done.stderr and b"Traceback" not in done.stderr
 
