Add the real balancer: asyncio and h11 round the decision module

lanelift/net holds the driver (the only caller of Balancer.handle), the frontend, the upstream pool, discovery and peers; reading the settings moves from the adapter to lanelift/settings.py, which both programs use.

--- /dev/null
+++ b/lanelift/__main__.py
@@ -0,0 +1,122 @@
+"""The real balancer: `python -m lanelift`, told what to do by the file that BALANCER_CONFIG names."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import socket
+import sys
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from lanelift import interface as api
+from lanelift.net.discovery import Discovery, read_list, split_address
+from lanelift.net.driver import Driver
+from lanelift.net.frontend import Frontend
+from lanelift.net.peers import Address, Peers
+from lanelift.net.upstream import Upstreams
+from lanelift.settings import Json, Malformed, maybe, need, read_settings, typed
+
+SOCKETS = 1024  # where no limit is told
+RESERVE = 64  # descriptors kept for the listener, discovery, peers and the interpreter
+LEAVE_S = 0.6  # over the longest deadline, after SIGTERM
+
+
+@dataclass(frozen=True)
+class Config:
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: api.Settings
+    known: Json | None
+    peer_listen: Address | None
+    peers: list[Address]
+    peers_all: Address | None
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise Malformed("BALANCER_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise Malformed(f"{path}: {error}") from None
+    raw = typed(raw, "configuration", dict)
+
+    def address(key: str) -> Address | None:
+        text = maybe(raw, key, str, environ.get(f"BALANCER_{key.upper()}"))
+        return split_address(text) if text else None
+
+    listen, discovery = address("listen"), address("discovery")
+    if listen is None or discovery is None:
+        raise Malformed(f"{'listen' if listen is None else 'discovery'} is not set")
+    try:
+        seed = int(maybe(raw, "seed", str, "0"), 16)
+    except ValueError:
+        raise Malformed("seed must be hexadecimal") from None
+    known = maybe(raw, "known", dict, None)
+    if known is not None:
+        read_list(known)
+    peers = [split_address(typed(peer, "peers", str)) for peer in maybe(raw, "peers", list, [])]
+    sockets = maybe(maybe(raw, "limits", dict, {}), "sockets", int, SOCKETS)
+    if sockets < 2 * RESERVE:
+        raise Malformed(f"limits.sockets must be {2 * RESERVE} at least")
+    return Config(listen, discovery, seed, sockets, read_settings(need(raw, "settings", dict)), known,
+                  address("peer_listen"), peers, address("peers_all"))
+
+
+def listening_socket(address: Address) -> socket.socket:
+    listener = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(address)
+    return listener
+
+
+async def serve(config: Config, listener: socket.socket) -> None:
+    loop = asyncio.get_running_loop()
+    settings = config.settings
+    most = (config.sockets - RESERVE) // 2
+    upstreams = Upstreams(settings.limits, most, bool(settings.report_columns))
+    driver = Driver(settings, config.seed, upstreams)
+    if config.peer_listen is not None and settings.limits.peers:
+        _, driver.peers = await loop.create_datagram_endpoint(
+            lambda: Peers(driver, config.peers, config.peers_all), local_addr=config.peer_listen)
+    discovery = driver.discovery = Discovery(driver, config.discovery, config.seed)
+    discovery.start(config.known)
+    frontend = Frontend(driver, listener, most)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, frontend.drain)
+    gc.collect()
+    gc.freeze()  # what is there now stays: no collection need look at it again
+    await frontend.drained.wait()
+    longest = max((c.deadline_ns for c in settings.classes.values()), default=0) / 1e9
+    try:
+        async with asyncio.timeout(longest + LEAVE_S):
+            await frontend.left.wait()
+    except TimeoutError:
+        logging.error("left with %d requests open", driver.open)
+    discovery.close()
+    upstreams.close()
+
+
+def main() -> int:
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(message)s")
+    try:
+        config = read_config(os.environ)
+        listener = listening_socket(config.listen)
+    except (Malformed, OSError) as error:
+        print(f"lanelift: {error}", file=sys.stderr)
+        return 2
+    asyncio.run(serve(config, listener))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lanelift/interface.py
+++ b/lanelift/interface.py
@@ -68,6 +68,7 @@
     scope: Scope = Scope.ALL
     window_ns: int = 0  # keyed: how long repeats are dropped, from the first send that may have run
     aim_ns: int = 1_000_000_000  # an answer within this earns the full worth
+    deadline_ns: int = 3_000_000_000  # the longest that its clients wait, over all their tries
     worth: float = 1.0
     late_worth: float = 0.0  # share of the worth for an answer after the aim
     stream: bool = False
@@ -93,6 +94,8 @@
     retry_after: bool = False
     max_retry_after_ns: int = 1_000_000_000
     connect_timeout_ns: int = 250_000_000
+    conn_idle_ns: int = 15_000_000_000  # an upstream closes a connection that has stood idle for this long
+    max_open: int = 20_000  # requests that a proxy may have open
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/lanelift/net/discovery.py
@@ -0,0 +1,179 @@
+"""Discovery: the first list, the watch for changes, and what to do when it does not answer."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import logging
+import random
+import time
+from typing import Any
+
+import h11
+
+from lanelift import interface as api
+from lanelift.net.driver import Driver
+from lanelift.net.http import Connection, Exchange, Response
+from lanelift.net.upstream import Endpoint
+from lanelift.settings import Json, Malformed, maybe, need, typed, word
+
+log = logging.getLogger(__name__)
+
+HOLD_MS = 20_000
+CALL_S = 3.0  # longest wait for a call that need not wait, and beyond its hold for one that may
+BACKOFF_S = (0.05, 1.0)
+MAX_LIST = 4 * 1024 * 1024
+STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
+MS = 1_000_000
+# Taken once: an upstream's start must not seem to move between two lists.
+UNIX_TO_MONOTONIC_NS = time.monotonic_ns() - time.time_ns()
+
+
+class Unanswered(Exception):
+    """A call failed: discovery is down, or said what can't be read."""
+
+
+def number_of(name: str) -> int:
+    """An upstream's id as the number that the module knows it by: the same on every balancer."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+def split_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise Malformed(f"{text!r} is not HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+def read_endpoint(row: Any) -> Endpoint:
+    row = typed(row, "server", dict)
+    state = word(row, "state", STATES, "Ready")
+    # What has gone needs no address.
+    host, port = split_address(need(row, "addr", str)) if state is not api.State.GONE else ("", 0)
+    started_ms = int(maybe(row, "started_ms", float, 0))
+    started_ns = started_ms * MS + UNIX_TO_MONOTONIC_NS if started_ms else 0
+    return Endpoint(api.Upstream(
+        number_of(need(row, "id", str)), state, maybe(row, "zone", str, ""), maybe(row, "cell", int, 0),
+        float(maybe(row, "weight", float, 1.0)), started_ns, maybe(row, "kind", str, "")), host, port)
+
+
+def read_list(raw: Any) -> tuple[int, bool, list[Endpoint]]:
+    """A list's version, whether it is whole, and its entries; those that can't be read are skipped."""
+    raw = typed(raw, "list", dict)
+    endpoints = []
+    for row in need(raw, "servers", list):
+        try:
+            endpoints.append(read_endpoint(row))
+        except Malformed as error:
+            log.warning("discovery: entry skipped: %s", error)
+    return need(raw, "version", int), maybe(raw, "full", bool, False), endpoints
+
+
+class Discovery:
+    def __init__(self, driver: Driver, address: tuple[str, int], seed: int) -> None:
+        self.driver = driver
+        self.address = address
+        self.host = f"{address[0]}:{address[1]}".encode()
+        self.rng = random.Random(seed)
+        self.push = driver.settings.discovery_push
+        self.version = -1
+        self.connection: Connection | None = None
+        self.watching: asyncio.Task[None] | None = None
+        self.fetching: asyncio.Task[None] | None = None
+        self.lock = asyncio.Lock()
+
+    def start(self, known: Json | None) -> None:
+        """Begin from the list as last known, and watch at once where changes are pushed."""
+        if known is not None:
+            self.version, _, endpoints = read_list(known)
+            self.driver.learn(api.ListKind.CACHED, endpoints)
+        if self.push:
+            self.subscribe(True)
+
+    def subscribe(self, on: bool) -> None:
+        if self.watching is not None:
+            self.watching.cancel()
+        self.watching = asyncio.get_running_loop().create_task(self._watch()) if on else None
+
+    def fetch(self) -> None:
+        if self.fetching is None or self.fetching.done():
+            self.fetching = asyncio.get_running_loop().create_task(self._fetch())
+
+    def close(self) -> None:
+        for task in (self.watching, self.fetching):
+            if task is not None:
+                task.cancel()
+        if self.connection is not None:
+            self.connection.abort()
+
+    async def _watch(self) -> None:
+        """Without a gap: each call follows on the answer before it. After one, the whole list comes first."""
+        wait = BACKOFF_S[0]
+        while True:
+            try:
+                await self._call(b"/v1/endpoints", CALL_S)
+                wait = BACKOFF_S[0]
+                while True:
+                    await self._call(b"/v1/endpoints?from=%d&hold_ms=%d" % (self.version, HOLD_MS),
+                                     HOLD_MS / 1000 + CALL_S)
+            except (Unanswered, Malformed) as error:
+                # The old list stands. Balancers must not all come back together.
+                log.warning("discovery: %s", error)
+                if not self.push:
+                    self.driver.learn(api.ListKind.FAILED, [])  # the module says when to ask again
+                    return
+                await asyncio.sleep(wait * self.rng.uniform(0.5, 1.0))
+                wait = min(2 * wait, BACKOFF_S[1])
+
+    async def _fetch(self) -> None:
+        try:
+            await self._call(b"/v1/endpoints", CALL_S)
+        except (Unanswered, Malformed) as error:
+            log.warning("discovery: %s", error)
+            self.driver.learn(api.ListKind.FAILED, [])
+
+    async def _call(self, target: bytes, wait_s: float) -> None:
+        async with self.lock:  # one connection, and one call at a time on it
+            response = await self._get(target, wait_s)
+        if response.status != 200:
+            raise Unanswered(f"answered {response.status}")
+        try:
+            raw = json.loads(response.body)
+        except ValueError as error:
+            raise Unanswered(f"not JSON: {error}") from None
+        version, full, endpoints = read_list(raw)
+        # A list that is older than what is known, or no newer and partial, tells nothing.
+        if version < self.version or (version == self.version and not full):
+            endpoints, full = [], False
+        self.version = max(self.version, version)
+        if endpoints or full or not self.push:
+            self.driver.learn(api.ListKind.FULL if full else api.ListKind.DELTA, endpoints)
+
+    async def _get(self, target: bytes, wait_s: float) -> Response:
+        loop = asyncio.get_running_loop()
+        if self.connection is None or self.connection.closed:
+            connection = Connection(lambda c: None, lambda c: None)
+            try:
+                async with asyncio.timeout(CALL_S):
+                    await loop.create_connection(lambda: connection, *self.address)
+            except OSError as error:
+                raise Unanswered(f"no connection: {error or 'timed out'}") from None
+            self.connection = connection
+        answer: asyncio.Future[tuple[api.Result, Response | None]] = loop.create_future()
+
+        def ended(result: api.Result, response: Response | None) -> None:
+            if not answer.done():
+                answer.set_result((result, response))
+
+        request = h11.Request(method="GET", target=target, headers=[(b"Host", self.host)])
+        exchange = Exchange(request, b"", ended, MAX_LIST)
+        exchange.expire_in(wait_s)
+        self.connection.start(exchange)
+        try:
+            result, response = await answer
+        finally:
+            exchange.give_up(api.Result.CANCELLED)
+        if response is None:
+            raise Unanswered(f"no answer: {result.value}")
+        return response
--- /dev/null
+++ b/lanelift/net/driver.py
@@ -0,0 +1,233 @@
+"""The driver: the one caller of `Balancer.handle`.
+
+Events go in as they came, on the monotonic clock; what one turn of the loop brings is handed over together.
+Actions are carried out in order. The driver owns timers, attempts and the table of requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from lanelift import interface as api
+from lanelift.decide import Balancer
+from lanelift.net.http import Exchange, Headers, Response
+from lanelift.net.upstream import Endpoint, Report, Upstreams, attempt_request
+
+log = logging.getLogger(__name__)
+
+OVERDUE_S = 0.008  # after its deadline a request that the module has not ended is ended here
+
+
+class Client(Protocol):
+    """Whoever waits for the one final answer."""
+
+    def served(self, response: Response) -> None: ...
+
+    def refused(self, retry_after_ns: int) -> None: ...
+
+    def failed(self, status: int) -> None: ...
+
+
+class Discovery(Protocol):
+    def subscribe(self, on: bool) -> None: ...
+
+    def fetch(self) -> None: ...
+
+
+class Peers(Protocol):
+    def tell(self, peer: int, data: bytes) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class OpenRequest:
+    arrival: api.Arrival
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    client: Client
+    attempts: list[Exchange | None] = field(default_factory=list)  # None: over, or never sent
+    sent: int = 0  # attempts without an outcome
+    over: bool = False  # answered, or its client has gone
+    timed_out: bool = False  # the last outcome was a time-out
+    overdue: asyncio.TimerHandle | None = None
+
+
+class Driver:
+    def __init__(self, settings: api.Settings, seed: int, upstreams: Upstreams) -> None:
+        self.settings = settings
+        self.upstreams = upstreams
+        self.discovery: Discovery | None = None
+        self.peers: Peers | None = None
+        self.loop = asyncio.get_running_loop()
+        self.balancer = Balancer(settings, seed, time.monotonic_ns())
+        self.requests: dict[str, OpenRequest] = {}
+        self.open = 0  # requests that are owed an answer
+        self.waiting: list[api.Event] = []
+
+    @property
+    def ready(self) -> bool:
+        """Can the module serve? It can once a list has named an upstream that is ready."""
+        return any(t.endpoint.entry.state is api.State.READY for t in self.upstreams.targets.values())
+
+    # ---- events ------------------------------------------------------------------------------------------
+
+    def post(self, event: api.Event) -> None:
+        if not self.waiting:
+            self.loop.call_soon(self._hand_over)
+        self.waiting.append(event)
+
+    def arrive(self, request: OpenRequest) -> bool:
+        """Take a client's request; False if it can't be taken, and the caller answers."""
+        if self.open >= self.settings.limits.max_open:
+            return False
+        self.requests[request.arrival.request] = request
+        self.open += 1
+        left = (request.arrival.deadline_ns - time.monotonic_ns()) / 1e9
+        request.overdue = self.loop.call_later(max(0.0, left) + OVERDUE_S, self._overdue, request)
+        self.post(request.arrival)
+        return True
+
+    def client_gone(self, request: OpenRequest) -> None:
+        if self._end(request):
+            self.post(api.ClientGone(request.arrival.request))
+
+    def learn(self, kind: api.ListKind, endpoints: list[Endpoint]) -> None:
+        if kind is not api.ListKind.FAILED:
+            self.upstreams.learn(endpoints, full=kind is not api.ListKind.DELTA)
+        self.post(api.ListUpdate(kind, [e.entry for e in endpoints]))
+
+    def _hand_over(self) -> None:
+        events, self.waiting = self.waiting, []
+        now = time.monotonic_ns()
+        try:
+            actions = self.balancer.handle(now, events)
+        except Exception:
+            self._blame("the decision module failed", events)
+            actions = []
+        for action in actions:
+            try:
+                self._carry_out(action, now)
+            except Exception:
+                self._blame("an action failed", [action])
+        for event in events:  # only now: the module may act for a request until it has heard of its end
+            if isinstance(event, api.Outcome | api.ClientGone):
+                self._forget(event.request)
+
+    def _blame(self, what: str, about: list[api.Event] | list[api.Action]) -> None:
+        """Called in an exception's handler: log it with its requests, and end these as failed."""
+        names = [name for name in (getattr(item, "request", None) for item in about) if name is not None]
+        log.exception("%s; requests %s", what, " ".join(names) or "-")
+        for name in names:
+            request = self.requests.get(name)
+            if request is not None and self._end(request):
+                request.client.failed(502)
+                self.post(api.ClientGone(name))
+
+    def _overdue(self, request: OpenRequest) -> None:
+        """The module owes an answer and the client's time is over: the rule is kept here, and logged."""
+        if self._end(request):
+            log.error("request %s was not answered by its deadline", request.arrival.request)
+            request.client.failed(504)
+            self.post(api.ClientGone(request.arrival.request))
+
+    # ---- actions -----------------------------------------------------------------------------------------
+
+    def _carry_out(self, action: api.Action, now: int) -> None:
+        match action:
+            case api.Send():
+                self._send(action, now)
+            case api.Refuse():
+                request = self.requests.get(action.request)
+                if request is not None and self._end(request):
+                    request.client.refused(action.retry_after_ns)
+                    self._forget(action.request)
+            case api.Fail():
+                request = self.requests.get(action.request)
+                if request is not None and self._end(request):
+                    request.client.failed(504 if request.timed_out else 502)
+                    self._forget(action.request)
+            case api.Cancel():
+                request = self.requests.get(action.request)
+                exchange = request.attempts[action.attempt] if request is not None else None
+                if exchange is not None:
+                    exchange.give_up(api.Result.CANCELLED)
+            case api.Probe():
+                self._probe(action.upstream, now)
+            case api.SetTimer():
+                self.loop.call_later(action.delay_ns / 1e9, self.post, api.Wake(action.name))
+            case api.Tell():
+                if self.peers is not None:
+                    self.peers.tell(action.peer, action.data)
+            case api.Subscribe():
+                if self.discovery is not None:
+                    self.discovery.subscribe(action.on)
+            case api.FetchList():
+                if self.discovery is not None:
+                    self.discovery.fetch()
+            case api.Note():
+                log.info("%s", action.text)
+
+    def _send(self, action: api.Send, now: int) -> None:
+        request = self.requests.get(action.request)
+        if request is None:
+            log.error("send for request %s, which is not open", action.request)
+            return
+        number = len(request.attempts)
+        request.attempts.append(None)
+        request.sent += 1
+        limits = self.settings.limits
+        left = request.arrival.deadline_ns - now
+        legal = (not request.over and left > 0 and number < limits.max_attempts
+                 and request.sent <= (2 if limits.second_copies else 1))
+
+        def ended(result: api.Result, response: Response | None = None, report: Report = None) -> None:
+            self._ended(request, number, action.upstream, result, time.monotonic_ns() - now, response, report)
+
+        if legal and action.timeout_ns < 0:
+            ended(api.Result.TIMEOUT)
+            return
+        if legal:
+            wait = min(action.timeout_ns or left, left)
+            outgoing = attempt_request(request.method, request.target, request.headers, request.body,
+                                       max(1, wait // 1_000_000))
+            request.attempts[number] = self.upstreams.send(
+                action.upstream, outgoing, request.body, wait / 1e9, ended)
+        if request.attempts[number] is None:
+            ended(api.Result.MOOT)
+
+    def _ended(self, request: OpenRequest, number: int, upstream: int, result: api.Result, took_ns: int,
+               response: Response | None, report: Report) -> None:
+        request.attempts[number] = None
+        request.sent -= 1
+        request.timed_out = result is api.Result.TIMEOUT
+        if result is api.Result.OK and response is not None and self._end(request):
+            request.client.served(response)
+        name = request.arrival.request
+        self.post(api.Outcome(name, number, upstream, result, took_ns, request.over, report))
+
+    def _probe(self, upstream: int, now: int) -> None:
+        def ended(result: api.Result, report: Report) -> None:
+            self.post(api.ProbeResult(upstream, result, time.monotonic_ns() - now, report))
+
+        if not self.upstreams.probe(upstream, ended):
+            ended(api.Result.CONNECT_FAILED, None)
+
+    def _end(self, request: OpenRequest) -> bool:
+        """Mark a request as over; False if it was already. Whoever gets True gives the final answer."""
+        if request.over:
+            return False
+        request.over = True
+        self.open -= 1
+        if request.overdue is not None:
+            request.overdue.cancel()
+        return True
+
+    def _forget(self, name: str) -> None:
+        request = self.requests.get(name)
+        if request is not None and request.over and not request.sent:
+            del self.requests[name]
--- /dev/null
+++ b/lanelift/net/upstream.py
@@ -0,0 +1,243 @@
+"""The upstreams: where they are, the connections kept to them, attempts and probes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+import h11
+
+from lanelift import interface as api
+from lanelift.net.http import Connection, Exchange, Headers, Response
+
+log = logging.getLogger(__name__)
+
+IDLE_PART = 0.6  # of the time after which upstreams close idle connections; then they are dropped here
+NEVER_RAN = (503, 504)
+Report = Mapping[str, float] | None
+Done = Callable[[api.Result, Response | None, Report], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """An upstream as discovery lists it: what the module is told, and the address that it is not."""
+
+    entry: api.Upstream
+    host: str
+    port: int
+
+    @property
+    def process(self) -> tuple[str, int, int]:
+        """Connections lead to one process: not to the one that takes its place."""
+        return self.host, self.port, self.entry.started_ns
+
+
+@dataclass(slots=True, eq=False)
+class Target:
+    """An upstream's address and its idle connections, the newest last."""
+
+    endpoint: Endpoint
+    idle: list[Connection] = field(default_factory=list)
+    timer: asyncio.TimerHandle | None = None
+    keep: bool = True  # connections that come free are kept
+
+
+class Upstreams:
+    def __init__(self, limits: api.Limits, max_connections: int, reports: bool) -> None:
+        self.connect_timeout = limits.connect_timeout_ns / 1e9
+        self.idle_s = limits.conn_idle_ns * IDLE_PART / 1e9
+        self.max_connections = max_connections
+        self.probe_path = b"/status/load" if reports else b"/health"
+        self.targets: dict[int, Target] = {}
+        self.connections = 0  # those open and those being opened
+        self.connecting: set[asyncio.Task[None]] = set()
+
+    # ---- the list ----------------------------------------------------------------------------------------
+
+    def learn(self, endpoints: Iterable[Endpoint], full: bool) -> None:
+        """Take in a list. Idle connections to what drains, restarted, moved or went are dropped at once."""
+        seen = set()
+        for new in endpoints:
+            seen.add(new.entry.id)
+            old = self.targets.get(new.entry.id)
+            if new.entry.state is api.State.GONE:
+                self._remove(new.entry.id)
+                continue
+            if old is None or old.endpoint.process != new.process:
+                # A new target: connections in use that belong to the old one are not kept either.
+                self._remove(new.entry.id)
+                old = self.targets[new.entry.id] = Target(new)
+            old.endpoint = new
+            old.keep = new.entry.state is api.State.READY
+            if not old.keep:
+                self._drop_idle(old)
+        if full:
+            for gone in self.targets.keys() - seen:
+                self._remove(gone)
+
+    def _remove(self, number: int) -> None:
+        target = self.targets.pop(number, None)
+        if target is not None:
+            target.keep = False
+            self._drop_idle(target)
+
+    # ---- attempts and probes -----------------------------------------------------------------------------
+
+    def send(self, number: int, request: h11.Request, body: bytes, timeout_s: float,
+             done: Done) -> Exchange | None:
+        """Start one attempt; None if there is no such upstream. The outcome never comes within this call."""
+        target = self.targets.get(number)
+        if target is None:
+            return None
+
+        def ended(result: api.Result, response: Response | None) -> None:
+            report = read_report(response.header(b"x-load")) if response is not None else None
+            done(outcome(result, response), response, report)
+
+        exchange = Exchange(request, body, ended)
+        exchange.expire_in(timeout_s)
+        self._start(target, exchange)
+        return exchange
+
+    def probe(self, number: int, done: Callable[[api.Result, Report], None]) -> bool:
+        target = self.targets.get(number)
+        if target is None:
+            return False
+        host = f"{target.endpoint.host}:{target.endpoint.port}".encode()
+
+        def ended(result: api.Result, response: Response | None) -> None:
+            report = None
+            if response is not None:
+                if result is api.Result.OK and response.status == 503:
+                    result = api.Result.FULL
+                else:
+                    result = outcome(result, response)
+                report = read_report(response.header(b"x-load") or response.body)
+            done(result, report)
+
+        request = h11.Request(method="GET", target=self.probe_path, headers=[(b"Host", host)])
+        exchange = Exchange(request, b"", ended)
+        exchange.expire_in(self.connect_timeout)
+        self._start(target, exchange)
+        return True
+
+    # ---- connections -------------------------------------------------------------------------------------
+
+    def _start(self, target: Target, exchange: Exchange) -> None:
+        while target.idle:
+            connection = target.idle.pop()  # the newest: the others may come to rest and close
+            if connection.transport is not None and not connection.transport.is_closing():
+                connection.start(exchange)
+                return
+        if self.connections >= self.max_connections and not self._make_room():
+            log.warning("no connection to spare: %d open", self.connections)
+            asyncio.get_running_loop().call_soon(exchange.give_up, api.Result.CONNECT_FAILED)
+            return
+        self.connections += 1
+        task = asyncio.get_running_loop().create_task(self._connect(target, exchange))
+        self.connecting.add(task)
+        task.add_done_callback(self.connecting.discard)
+
+    async def _connect(self, target: Target, exchange: Exchange) -> None:
+        connection = Connection(lambda c: self._released(target, c), lambda c: self._lost(target, c))
+        try:
+            async with asyncio.timeout(self.connect_timeout):
+                await asyncio.get_running_loop().create_connection(
+                    lambda: connection, target.endpoint.host, target.endpoint.port)
+        except OSError:  # a time-out is one, too
+            if connection.transport is None:
+                self.connections -= 1
+            connection.abort()
+            exchange.give_up(api.Result.CONNECT_FAILED)
+            return
+        if connection.closed:
+            exchange.give_up(api.Result.CONNECT_FAILED)
+        elif exchange.done is None:  # given up meanwhile; the connection serves the next one
+            self._released(target, connection)
+        else:
+            connection.start(exchange)
+
+    def _released(self, target: Target, connection: Connection) -> None:
+        if not target.keep:
+            connection.abort()
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        target.idle.append(connection)
+        if target.timer is None:
+            self._watch_idle(target)
+
+    def _watch_idle(self, target: Target) -> None:
+        """One timer for each upstream that has idle connections, set for the oldest of them."""
+        target.timer = asyncio.get_running_loop().call_at(target.idle[0].idle_since + self.idle_s,
+                                                          self._sweep, target)
+
+    def _sweep(self, target: Target) -> None:
+        # A request written to a connection that the upstream is just closing ends as a reset, and may have
+        # run: none is used that comes near the upstream's own limit.
+        target.timer = None
+        now = asyncio.get_running_loop().time()
+        for connection in [c for c in target.idle if c.idle_since + self.idle_s <= now]:
+            connection.abort()
+        if target.idle:
+            self._watch_idle(target)
+
+    def _lost(self, target: Target, connection: Connection) -> None:
+        if connection.transport is not None:
+            self.connections -= 1
+        if connection in target.idle:
+            target.idle.remove(connection)
+
+    def _drop_idle(self, target: Target) -> None:
+        for connection in list(target.idle):
+            connection.abort()
+        if target.timer is not None:
+            target.timer.cancel()
+            target.timer = None
+
+    def _make_room(self) -> bool:
+        """At the cap: close the connection that has been idle longest."""
+        oldest = min((t.idle[0] for t in self.targets.values() if t.idle),
+                     key=lambda c: c.idle_since, default=None)
+        if oldest is None:
+            return False
+        oldest.abort()
+        return True
+
+    def close(self) -> None:
+        for task in self.connecting:
+            task.cancel()
+        for number in list(self.targets):
+            self._remove(number)
+
+
+def outcome(result: api.Result, response: Response | None) -> api.Result:
+    """What an upstream's answer means."""
+    if result is not api.Result.OK or response is None:
+        return result
+    if response.status == 200:
+        return api.Result.OK
+    if response.status in NEVER_RAN and response.header(b"x-not-run") == b"1":
+        return api.Result.FULL
+    return api.Result.ERROR
+
+
+def read_report(text: bytes | None) -> Report:
+    """`inflight=7,queue=2`: what can be read of it."""
+    report = {}
+    for part in (text or b"").decode("latin-1").split(","):
+        name, _, value = part.strip().partition("=")
+        try:
+            report[name] = float(value)
+        except ValueError:
+            continue
+    return report or None
+
+
+def attempt_request(method: bytes, target: bytes, headers: Headers, body: bytes, wait_ms: int) -> h11.Request:
+    """The client's request as it goes on: with its own length, and how long this balancer will wait."""
+    rows = [*headers, (b"X-Deadline-Ms", b"%d" % wait_ms)]
+    if body or method not in (b"GET", b"HEAD"):
+        rows.append((b"Content-Length", b"%d" % len(body)))
+    return h11.Request(method=method, target=target, headers=rows)
--- a/lanelift/wirehost.py
+++ b/lanelift/wirehost.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import base64
-import dataclasses
 import json
 import sys
 from collections.abc import Callable, Mapping, Sequence
@@ -17,103 +16,17 @@
 
 from lanelift import interface as api
 from lanelift.decide import Balancer
+from lanelift.settings import Json, Malformed, maybe, need, read_settings, typed, word
 
-Json = dict[str, Any]
-
-EFFECTS = {"read_like": api.Effect.SAFE, "idempotency_key": api.Effect.KEYED,
-           "non_idempotent": api.Effect.UNSAFE}
 RESULTS = {"delivered": api.Result.OK, "app_error": api.Result.ERROR, "shed": api.Result.FULL,
            "expired": api.Result.TIMEOUT, "dial_failed": api.Result.CONNECT_FAILED,
            "dropped": api.Result.RESET, "revoked": api.Result.CANCELLED, "unused": api.Result.MOOT}
 STATES = {0: api.State.GONE, 1: api.State.READY, 2: api.State.DRAINING}
-KINDS = {int: "a whole number", float: "a number", str: "text", bool: "true or false", dict: "an object",
-         list: "an array"}
-SCOPES = {scope.value: scope for scope in api.Scope}
 LISTS = {0: api.ListKind.DELTA, 1: api.ListKind.FULL, 2: api.ListKind.CACHED, 3: api.ListKind.FAILED}
 
 
-class Malformed(Exception):
-    """The input is not what the wire allows."""
-
-
-def need(row: Json, key: str, kind: type) -> Any:
-    """A field that must be there, of this type; a whole number is no bool."""
-    if key not in row:
-        raise Malformed(f"{row.get('t', 'entry')} lacks {key}")
-    return _typed(row[key], key, kind)
-
-
-def maybe(row: Json, key: str, kind: type, default: Any) -> Any:
-    """A field that may be absent."""
-    return default if row.get(key) is None else _typed(row[key], key, kind)
-
-
-def _typed(value: Any, key: str, kind: type) -> Any:
-    fits = isinstance(value, (int, float) if kind is float else kind)
-    if not fits or (isinstance(value, bool) and kind is not bool):
-        raise Malformed(f"{key} must be {KINDS[kind]}, not {json.dumps(value)[:80]}")
-    return value
-
-
-def word(row: Json, key: str, words: Mapping[Any, Any], default: Any = None) -> Any:
-    """A field whose value is one of a few."""
-    value = row.get(key, default)
-    if not isinstance(value, (str, int)) or isinstance(value, bool) or value not in words:
-        raise Malformed(f"{row.get('t', 'entry')} has unknown {key} {json.dumps(value)[:80]}")
-    return words[value]
-
-
-def _pick(known: Json, like: type, names: Mapping[str, str]) -> Json:
-    """The known settings among those sent, under the interface's names; the rest keep their defaults."""
-    types = {f.name: type(f.default) for f in dataclasses.fields(like)}
-    return {ours: _typed(known[theirs], theirs, types[ours])
-            for theirs, ours in names.items() if known.get(theirs) is not None}
-
-
-def _same(*names: str) -> dict[str, str]:
-    return {name: name for name in names}
-
-
-def _names(row: Json, key: str) -> frozenset[str]:
-    return frozenset(_typed(name, key, str) for name in maybe(row, key, list, ()))
-
-
-def read_class(row: Json) -> api.RequestClass:
-    given = _pick(row, api.RequestClass, {**_same("window_ns", "aim_ns", "worth", "late_worth", "stream"),
-                                          "fifo_by_key": "in_order"})
-    return api.RequestClass(
-        need(row, "name", str), word(row, "repeat", EFFECTS, "non_idempotent"),
-        word(row, "dedup_scope", SCOPES, "all"), zones=_names(row, "runs_in"),
-        kinds=_names(row, "allowed_on"), **given)
-
-
-def read_settings(raw: Json) -> api.Settings:
-    classes = [read_class(_typed(row, "profiles", dict)) for row in maybe(raw, "profiles", list, ())]
-    tenants = [api.Tenant(need(_typed(row, "realms", dict), "name", str),
-                          **_pick(row, api.Tenant, _same("share", "quota_per_s")))
-               for row in maybe(raw, "realms", list, ())]
-    limits = _pick(maybe(raw, "limits", dict, {}), api.Limits, {
-        "send_cap": "max_attempts",
-        **_same("second_copies", "may_cancel", "probes", "peers", "retry_after", "max_retry_after_ns",
-                "connect_timeout_ns")})
-    rules = _pick(maybe(raw, "rules", dict, {}), api.Rules, _same(
-        "stop_sending_within_ns", "ask_within_ns", "cold_from", "cold_ns", "fall_multiple",
-        "overload_for_ns", "turn_gap_ns"))
-    prices = _pick(maybe(raw, "prices", dict, {}), api.Prices, _same(
-        "cross_zone", "waste", "probe", "peer", "connection", "handshake"))
-    reports = maybe(raw, "load_report", dict, {})
-    return api.Settings(
-        me=maybe(raw, "me", int, 0), replicas_of_me=maybe(raw, "replicas_of_me", int, 1),
-        zone=maybe(raw, "locality", str, ""),
-        discovery_push=word(raw, "registry_mode", {"push": True, "ask": False}, "push"),
-        classes={c.name: c for c in classes}, tenants={t.name: t for t in tenants},
-        limits=api.Limits(**limits), rules=api.Rules(**rules), prices=api.Prices(**prices),
-        report_columns=tuple(_typed(c, "columns", str) for c in maybe(reports, "columns", list, ())),
-        reports_in_answers=reports.get("how") == "answers")
-
-
 def read_upstream(row: Any) -> api.Upstream:
-    row = _typed(row, "rows_in", dict)
+    row = typed(row, "rows_in", dict)
     return api.Upstream(
         need(row, "upstream", int), word(row, "availability", STATES, 1), maybe(row, "locality", str, ""),
         maybe(row, "cohort", int, 0), maybe(row, "scale", float, 1.0), maybe(row, "up_since_ns", int, 0),
@@ -122,14 +35,14 @@
 
 def _arrival(e: Json) -> api.Event:
     group = e.get("user_group") or ""  # a site with no tenants may send 0
-    return api.Arrival(need(e, "ticket", str), need(e, "kind", str), _typed(group, "user_group", str),
+    return api.Arrival(need(e, "ticket", str), need(e, "kind", str), typed(group, "user_group", str),
                        need(e, "deadline_ns", int), maybe(e, "cost_guess_ns", int, 0),
                        maybe(e, "entity", str, ""), maybe(e, "resent", bool, False))
 
 
 def _report(e: Json) -> Mapping[str, float] | None:
     report = maybe(e, "metrics", dict, None)
-    return report and {name: _typed(value, "metrics", float) for name, value in report.items()}
+    return report and {name: typed(value, "metrics", float) for name, value in report.items()}
 
 
 def _outcome(e: Json) -> api.Event:
@@ -205,7 +118,7 @@
         waiting: dict[int, list[api.Event]] = {}
         commands: list[Json] = []
         for event in happened:
-            self._take(_typed(event, "event", dict), now, waiting, commands)
+            self._take(typed(event, "event", dict), now, waiting, commands)
         for number_of, events in waiting.items():
             self._run(number_of, now, events, commands)
         return json.dumps({"round": number, "cmds": commands}, separators=(",", ":"))
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -12,7 +12,8 @@
 
 from lanelift import interface as api
 from lanelift.decide import Balancer
-from lanelift.wirehost import Host, read_settings, read_upstream
+from lanelift.settings import read_settings
+from lanelift.wirehost import Host, read_upstream
 
 Json = dict[str, Any]
 SETTINGS: Json = {
