--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -95,15 +95,17 @@
         loop.add_signal_handler(number, frontend.drain)
     gc.collect()
     gc.freeze()  # what is there now stays: no collection need look at it again
-    await frontend.drained.wait()
     longest = max((c.deadline_ns for c in settings.classes.values()), default=0) / 1e9
     try:
+        await frontend.drained.wait()
         async with asyncio.timeout(longest + LEAVE_S):
             await frontend.left.wait()
     except TimeoutError:
         logging.error("left with %d requests open", driver.open)
-    discovery.close()
-    upstreams.close()
+    finally:
+        frontend.close()
+        discovery.close()
+        upstreams.close()
 
 
 def main() -> int:
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -20,8 +20,10 @@
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = 20_000
-CALL_S = 3.0  # longest wait for a call that need not wait, and beyond its hold for one that may
+HOLD_MS = 10_000
+# What discovery has to tell counts as told 6 s later, or 2 s after a call's hold is over: a call that is
+# silent for so long is given up before that, and the whole list asked for.
+CALL_S, AFTER_HOLD_S = 2.5, 1.5
 BACKOFF_S = (0.05, 1.0)
 MAX_LIST = 4 * 1024 * 1024
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
@@ -116,7 +118,7 @@
                 wait = BACKOFF_S[0]
                 while True:
                     await self._call(b"/v1/endpoints?from=%d&hold_ms=%d" % (self.version, HOLD_MS),
-                                     HOLD_MS / 1000 + CALL_S)
+                                     HOLD_MS / 1000 + AFTER_HOLD_S)
             except (Unanswered, Malformed) as error:
                 # The old list stands. Balancers must not all come back together.
                 log.warning("discovery: %s", error)
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -31,6 +32,8 @@
 
     def failed(self, status: int) -> None: ...
 
+    def abort(self) -> None: ...
+
 
 class Discovery(Protocol):
     def subscribe(self, on: bool) -> None: ...
@@ -118,21 +121,29 @@
             if isinstance(event, api.Outcome | api.ClientGone):
                 self._forget(event.request)
 
-    def _blame(self, what: str, about: list[api.Event] | list[api.Action]) -> None:
+    def _blame(self, what: str, about: Sequence[api.Event | api.Action]) -> None:
         """Called in an exception's handler: log it with its requests, and end these as failed."""
         names = [name for name in (getattr(item, "request", None) for item in about) if name is not None]
         log.exception("%s; requests %s", what, " ".join(names) or "-")
         for name in names:
             request = self.requests.get(name)
             if request is not None and self._end(request):
-                request.client.failed(502)
+                self._answer(request, lambda client: client.failed(502))
                 self.post(api.ClientGone(name))
 
+    def _answer(self, request: OpenRequest, how: Callable[[Client], None]) -> None:
+        """Give the final answer. One that can't be given must not take the events behind it along."""
+        try:
+            how(request.client)
+        except Exception:
+            log.exception("request %s: its answer failed", request.arrival.request)
+            request.client.abort()
+
     def _overdue(self, request: OpenRequest) -> None:
         """The module owes an answer and the client's time is over: the rule is kept here, and logged."""
         if self._end(request):
             log.error("request %s was not answered by its deadline", request.arrival.request)
-            request.client.failed(504)
+            self._answer(request, lambda client: client.failed(504))
             self.post(api.ClientGone(request.arrival.request))
 
     # ---- actions -----------------------------------------------------------------------------------------
@@ -144,12 +155,13 @@
             case api.Refuse():
                 request = self.requests.get(action.request)
                 if request is not None and self._end(request):
-                    request.client.refused(action.retry_after_ns)
+                    self._answer(request, lambda client: client.refused(action.retry_after_ns))
                     self._forget(action.request)
             case api.Fail():
                 request = self.requests.get(action.request)
                 if request is not None and self._end(request):
-                    request.client.failed(504 if request.timed_out else 502)
+                    status = 504 if request.timed_out else 502
+                    self._answer(request, lambda client: client.failed(status))
                     self._forget(action.request)
             case api.Cancel():
                 request = self.requests.get(action.request)
@@ -193,10 +205,13 @@
             return
         if legal:
             wait = min(action.timeout_ns or left, left)
-            outgoing = attempt_request(request.method, request.target, request.headers, request.body,
-                                       max(1, wait // 1_000_000))
-            request.attempts[number] = self.upstreams.send(
-                action.upstream, outgoing, request.body, wait / 1e9, ended)
+            try:
+                outgoing = attempt_request(request.method, request.target, request.headers, request.body,
+                                           max(1, wait // 1_000_000))
+                request.attempts[number] = self.upstreams.send(
+                    action.upstream, outgoing, request.body, wait / 1e9, ended)
+            except Exception:  # it still has its one outcome, below
+                self._blame("an attempt could not start", [action])
         if request.attempts[number] is None:
             ended(api.Result.MOOT)
 
@@ -206,7 +221,7 @@
         request.sent -= 1
         request.timed_out = result is api.Result.TIMEOUT
         if result is api.Result.OK and response is not None and self._end(request):
-            request.client.served(response)
+            self._answer(request, lambda client: client.served(response))
         name = request.arrival.request
         self.post(api.Outcome(name, number, upstream, result, took_ns, request.over, report))
 
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -43,7 +43,7 @@
         self.max_clients = max_clients
         self.clients: set[ClientConnection] = set()
         self.waiting: dict[ClientConnection, None] = {}  # without an open request; the longest first
-        self.accepting: set[asyncio.Task[object]] = set()
+        self.opening: set[asyncio.Task[None]] = set()  # kept, or they may be collected
         self.drained = asyncio.Event()  # SIGTERM has come
         self.closed = False
         self.left = asyncio.Event()  # nothing is open any more
@@ -69,14 +69,16 @@
     def _accept(self) -> None:
         """Take what waits. At the cap, idle connections make room; if none is idle, the kernel's backlog
         holds the newcomers: one that was accepted is owed an answer, so none is taken to be dropped."""
-        for _ in range(BACKLOG):
-            if len(self.clients) + len(self.accepting) >= self.max_clients:
-                idle = next(iter(self.waiting), None)
-                if idle is None:
-                    log.warning("%d clients: no more are accepted for now", len(self.clients))
-                    self._pause()
-                    return
-                idle.close()
+        if len(self.clients) >= self.max_clients:
+            idle = next(iter(self.waiting), None)
+            if idle is not None:
+                idle.close()  # its place is free on the loop's next turn, which looks at the listener again
+            else:
+                log.warning("%d clients: no more are accepted for now", len(self.clients))
+                self._pause()
+            return
+        # No further than to the cap: whether anybody waits beyond it is seen next turn.
+        for _ in range(self.max_clients - len(self.clients)):
             try:
                 sock, _ = self.listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
@@ -87,14 +89,26 @@
                 self.loop.call_later(0.05, self._listen)
                 return
             sock.setblocking(False)
-            task: asyncio.Task[object] = self.loop.create_task(
-                self.loop.connect_accepted_socket(lambda: ClientConnection(self), sock))
-            self.accepting.add(task)
-            task.add_done_callback(self.accepting.discard)
-
-    def opened(self, client: ClientConnection) -> None:
-        self.clients.add(client)
+            # It counts from here on, and once: counted again while its transport is made, it would drive out
+            # another client for nothing.
+            client = ClientConnection(self)
+            self.clients.add(client)
+            task = self.loop.create_task(self._open(client, sock))
+            self.opening.add(task)
+            task.add_done_callback(self.opening.discard)
+
+    async def _open(self, client: ClientConnection, sock: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: client, sock)
+        except OSError as error:
+            log.error("a client's connection failed: %s", error)
+            sock.close()
+            self.lost(client)
+
+    def rest(self, client: ClientConnection) -> None:
+        """It is idle, and can make room for another: listen again, should that have stopped at the cap."""
         self.waiting[client] = None
+        self._listen()
 
     def lost(self, client: ClientConnection) -> None:
         self.clients.discard(client)
@@ -114,17 +128,24 @@
         self._accept()  # what is in the backlog was taken: it is not reset by closing the listener
         self._pause()
         self.closed = True
+        self.listener.close()
         self.loop.call_later(0.02, self._close_idle)
 
     def _close_idle(self) -> None:
-        self.listener.close()
         for client in list(self.waiting):
             if not client.has_data:
                 client.close()
         self.check_left()
 
+    def close(self) -> None:
+        self._pause()
+        self.closed = True
+        self.listener.close()
+        for client in list(self.clients):
+            client.abort()
+
     def check_left(self) -> None:
-        if self.closed and not self.clients and not self.accepting:
+        if self.closed and not self.clients:
             self.left.set()
 
 
@@ -150,13 +171,16 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.frontend.opened(self)
+        self.frontend.rest(self)
 
     def data_received(self, data: bytes) -> None:
         # Deadlines count from the client's send; this is the nearest moment that can be known.
         self.read_ns = time.monotonic_ns()
         if self.lingering:
             return
+        if self.open is not None and len(self.http.trailing_data[0]) > MAX_BODY:
+            self.abort()  # one request at a time: what floods in behind it would fill the memory
+            return
         self.http.receive_data(data)
         self._parse()
 
@@ -174,9 +198,14 @@
             self.driver.client_gone(request)
 
     def close(self) -> None:
+        self.frontend.waiting.pop(self, None)
         if self.transport is not None:
             self.transport.close()
 
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
     # ---- in ----------------------------------------------------------------------------------------------
 
     def _parse(self) -> None:
@@ -231,6 +260,8 @@
         name = headers.get(b"x-class", first.encode("latin-1")).decode("latin-1")
         if first not in settings.classes or name not in settings.classes:
             raise Unacceptable(404, "no such class")
+        if b"host" not in headers:
+            raise Unacceptable(400, "no Host")
         request = headers.get(b"x-request-id", b"").decode("latin-1")
         if not request:
             raise Unacceptable(400, "no X-Request-Id")
@@ -284,7 +315,7 @@
             return
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
-            self.frontend.waiting[self] = None
+            self.frontend.rest(self)
             if self.http.trailing_data[0]:
                 self.frontend.loop.call_soon(self._parse)
         else:
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,17 @@
+"""What several test files start from."""
+
+from __future__ import annotations
+
+import pytest
+
+from lanelift.decide import Balancer
+from lanelift.net import driver
+from tests.fakes import Heard
+
+
+@pytest.fixture
+def heard(monkeypatch: pytest.MonkeyPatch) -> Heard:
+    """The events that the module of each balancer started from here on is handed."""
+    heard = Heard()
+    monkeypatch.setattr(driver, "Balancer", heard.listen(Balancer))
+    return heard
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,310 @@
+"""The other ends of the balancer's sockets, on loopback: upstreams, discovery and clients, and a balancer.
+
+Everything waits on events: `until` returns once its condition holds, and `run` bounds a whole test.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable, Sequence
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, replace
+from typing import Any
+
+from lanelift import interface as api
+from lanelift.__main__ import Config, listening_socket, serve
+from lanelift.decide import Balancer
+from lanelift.settings import Json
+
+MS = 1_000_000
+SECOND = 1000 * MS
+TEST_S = 60.0
+CLASSES = {
+    "quote": api.RequestClass("quote", api.Effect.SAFE, aim_ns=2 * SECOND, deadline_ns=3 * SECOND),
+    "pay": api.RequestClass("pay", api.Effect.UNSAFE, aim_ns=2 * SECOND, deadline_ns=3 * SECOND)}
+SETTINGS = api.Settings(
+    classes=CLASSES, tenants={"ash": api.Tenant("ash")},
+    limits=api.Limits(max_attempts=1, may_cancel=True, retry_after=True, peers=True))
+
+
+def run(test: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(test, TEST_S))
+
+
+class Watched:
+    """Something whose changes can be waited for."""
+
+    def __init__(self) -> None:
+        self._changed = asyncio.Event()
+
+    def poke(self) -> None:
+        self._changed.set()
+
+    async def until(self, holds: Callable[[], object]) -> None:
+        while not holds():
+            self._changed.clear()
+            await self._changed.wait()
+
+
+@dataclass
+class Message:
+    start: list[str]  # the words of the first line
+    headers: dict[str, str]
+    body: bytes
+    link: int = 0  # which connection it came on
+
+    @property
+    def status(self) -> int:
+        return int(self.start[1])
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.strip().split("\r\n")
+    headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+    return Message(first.split(" "), headers, await reader.readexactly(int(headers.get("content-length", 0))))
+
+
+def answer(status: int, body: bytes = b"", *headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+class Server(Watched):
+    """A small HTTP server. `reply` gives what to write; None resets the connection."""
+
+    def __init__(self, reply: Callable[[Message], Awaitable[bytes | None]]) -> None:
+        super().__init__()
+        self.reply = reply
+        self.seen: list[Message] = []
+        self.links: list[asyncio.StreamWriter] = []
+        self.ended = 0  # connections that the other side closed
+        self.port = 0
+        self.server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return "127.0.0.1", self.port
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        self.close_links()
+
+    def close_links(self) -> None:
+        for link in self.links:
+            link.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.links.append(writer)
+        number = len(self.links)
+        waiting: set[asyncio.Task[None]] = set()
+        try:
+            while True:
+                message = await read_message(reader)
+                message.link = number
+                self.seen.append(message)
+                self.poke()
+                task = asyncio.create_task(self._answer(message, writer))
+                waiting.add(task)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.ended += 1
+            self.poke()
+        finally:
+            for task in waiting:
+                task.cancel()
+            writer.close()
+
+    async def _answer(self, message: Message, writer: asyncio.StreamWriter) -> None:
+        reply = await self.reply(message)
+        if reply is None:
+            writer.transport.abort()
+        else:
+            writer.write(reply)
+        self.poke()
+
+
+async def never() -> bytes | None:
+    await asyncio.Event().wait()
+    return None
+
+
+class FakeUpstream(Server):
+    """Answers 200 with its name, or what stands in `script`, one entry a request: bytes to write, `never` to
+    be silent, None to reset."""
+
+    def __init__(self, name: str) -> None:
+        super().__init__(self._next)
+        self.name = name
+        self.script: list[Any] = []
+        self.load = "inflight=3,queue=1"
+
+    async def _next(self, message: Message) -> bytes | None:
+        if message.start[1] in ("/health", "/status/load"):
+            return answer(200, self.load.encode())
+        entry = self.script.pop(0) if self.script else answer(200, self.name.encode())
+        reply: bytes | None = await entry() if callable(entry) else entry
+        return reply
+
+    def row(self, state: str = "Ready", started_ms: int = 0) -> Json:
+        return {"id": self.name, "addr": f"127.0.0.1:{self.port}", "zone": "east", "kind": "m", "cell": 1,
+                "state": state, "weight": 1.0, "started_ms": started_ms, "later": {"unknown": 1}}
+
+
+class FakeDiscovery(Server):
+    """Tells a list and its changes; `down` makes it break every call."""
+
+    def __init__(self, rows: Iterable[Json]) -> None:
+        super().__init__(self._tell)
+        self.rows = list(rows)
+        self.version = 1
+        self.changes: list[Json] = []
+        self.down = False
+
+    def change(self, *rows: Json) -> None:
+        self.version += 1
+        self.changes = list(rows)
+        names = {row["id"] for row in rows}
+        self.rows = [r for r in self.rows if r["id"] not in names] + [r for r in rows if r["state"] != "Gone"]
+        self.poke()
+
+    def whole(self) -> Json:
+        return {"version": self.version, "full": True, "servers": self.rows}
+
+    async def _tell(self, message: Message) -> bytes | None:
+        if self.down:
+            return None
+        if "from=" not in message.start[1]:
+            return answer(200, json.dumps(self.whole()).encode())
+        known = int(message.start[1].partition("from=")[2].partition("&")[0])
+        await self.until(lambda: self.version > known)
+        change = {"version": self.version, "full": False, "servers": self.changes}
+        return answer(200, json.dumps(change).encode())
+
+
+class Client:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def to(cls, address: tuple[str, int]) -> Client:
+        return cls(*await asyncio.open_connection(*address))
+
+    def send(self, name: str, kind: str = "quote", method: str = "GET", body: bytes = b"", path: str = "",
+             **headers: object) -> None:
+        rows = {"Host": "origin.svc", "X-Request-Id": name, "X-Class": kind, "X-Tenant": "ash",
+                "X-Deadline-Ms": 3000, **{key.replace("_", "-"): value for key, value in headers.items()}}
+        if body:
+            rows["Content-Length"] = len(body)
+        lines = "".join(f"{key}: {value}\r\n" for key, value in rows.items() if value is not None)
+        self.writer.write(f"{method} {path or '/' + kind} HTTP/1.1\r\n{lines}\r\n".encode() + body)
+
+    async def ask(self, name: str, *args: Any, **more: Any) -> Message:
+        self.send(name, *args, **more)
+        return await read_message(self.reader)
+
+    async def raw(self, data: bytes) -> Message:
+        self.writer.write(data)
+        return await read_message(self.reader)
+
+    async def ended(self) -> None:
+        with suppress(ConnectionError):
+            assert await self.reader.read() == b""
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+class Heard(Watched):
+    """The events that the module is handed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.events: list[api.Event] = []
+
+    def of(self, kind: type) -> list[Any]:
+        return [event for event in self.events if isinstance(event, kind)]
+
+    def results(self) -> list[api.Result]:
+        return [event.result for event in self.of(api.Outcome)]
+
+    def listen(self, module: type[Balancer]) -> type[Balancer]:
+        heard = self
+
+        class Listening(module):  # type: ignore[misc, valid-type]
+            def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
+                taken = list(events)
+                actions: list[api.Action] = super().handle(now, taken)
+                heard.events += taken
+                heard.poke()
+                return actions
+
+        return Listening
+
+
+class World:
+    """A balancer in this process, its upstreams and discovery."""
+
+    def __init__(self, upstreams: Sequence[FakeUpstream], discovery: FakeDiscovery) -> None:
+        self.upstreams = upstreams
+        self.discovery = discovery
+        self.address = ("127.0.0.1", 0)
+
+    async def client(self) -> Client:
+        return await Client.to(self.address)
+
+    async def tell(self, *rows: Json) -> None:
+        """Have discovery tell a change, and wait until the balancer has it: it then watches from there on."""
+        await self.watching()
+        self.discovery.change(*rows)
+        await self.watching()
+
+    async def watching(self) -> None:
+        target = f"from={self.discovery.version}&"
+        await self.discovery.until(lambda: any(target in m.start[1] for m in self.discovery.seen))
+
+    async def ask(self, name: str, *args: Any, **more: Any) -> Message:
+        client = await self.client()
+        try:
+            return await client.ask(name, *args, **more)
+        finally:
+            client.close()
+
+
+@asynccontextmanager
+async def world(count: int = 1, settings: api.Settings = SETTINGS, sockets: int = 1024,
+                **config: Any) -> AsyncIterator[World]:
+    upstreams = [FakeUpstream(f"s-{i}") for i in range(count)]
+    for upstream in upstreams:
+        await upstream.start()
+    discovery = FakeDiscovery(upstream.row() for upstream in upstreams)
+    await discovery.start()
+    w = World(upstreams, discovery)
+    listener = listening_socket(("127.0.0.1", 0))
+    listener.listen()  # connections wait for the balancer
+    w.address = listener.getsockname()
+    plain = Config(w.address, discovery.address, 7, sockets, settings, discovery.whole(), None, [], None)
+    task = asyncio.create_task(serve(replace(plain, **config), listener))
+    try:
+        yield w
+    finally:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+        for server in (*upstreams, discovery):
+            server.stop()
+
+
+def free_port() -> int:
+    """A loopback port where nobody listens."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        port: int = taken.getsockname()[1]
+        return port
--- /dev/null
+++ b/tests/test_frontend.py
@@ -0,0 +1,146 @@
+"""Clients' connections: bad input, limits, keep-alive and the answers that the balancer gives by itself."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from lanelift import interface as api
+from lanelift.__main__ import RESERVE
+from tests.fakes import SETTINGS, FakeUpstream, Heard, never, read_message, run, world
+
+
+def test_ready_once_the_module_can_serve() -> None:
+    async def test() -> None:
+        async with world(known=None) as w:
+            await w.watching()
+            assert (await w.ask("r", path="/ready")).status == 200
+            await w.tell(w.upstreams[0].row("Terminating"))
+            assert (await w.ask("r", path="/ready")).status == 503
+
+    run(test())
+
+
+def test_bad_input_gets_an_answer_and_harms_nobody() -> None:
+    async def test() -> None:
+        async with world() as w:
+            other = await w.client()
+            other.send("r0")
+            for number, junk in enumerate([b"\x00\x01\r\n\r\n", b"GET /quote HTTP/1.1\r\nno colon\r\n\r\n",
+                                           b"GET /quote HTTP/1.1\r\n\r\n", b"GET " + b"x" * 70_000,
+                                           b"POST /quote HTTP/1.1\r\nHost: h\r\nContent-Length: -4\r\n\r\n"]):
+                bad = await w.client()
+                assert (await bad.raw(junk)).status == 400, number
+                await bad.ended()
+            client = await w.client()
+            assert (await client.ask("r1", path="/nowhere")).status == 404
+            assert (await client.ask("r2", "unheard-of")).status == 404
+            assert (await client.ask("", X_Request_Id=None)).status == 400
+            assert (await client.ask("r3", X_Deadline_Ms="soon")).status == 400
+            assert (await client.ask("r4", X_Cost_Hint="-1")).status == 400
+            assert (await client.ask("r5", X_Tenant="stranger")).status == 200
+            assert (await client.ask("r6", X_Deadline_Ms=0)).status == 503
+            assert (await read_message(other.reader)).status == 200
+            assert (await other.ask("r7")).status == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+def test_a_body_that_is_too_large(chunked: bool) -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            if chunked:
+                client.send("r1", "pay", "POST", Transfer_Encoding="chunked")
+                client.writer.write(b"11170\r\n" + b"x" * 0x11170)
+            else:
+                client.send("r1", "pay", "POST", b"x" * 70_000)
+            assert (await read_message(client.reader)).status == 413
+            assert not w.upstreams[0].seen
+
+    run(test())
+
+
+def test_an_id_that_is_open_already() -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.upstreams[0].script = [never]
+            first = await w.client()
+            first.send("r1")
+            await w.upstreams[0].until(lambda: w.upstreams[0].seen)
+            assert (await w.ask("r1")).status == 409
+            first.close()
+
+    run(test())
+
+
+def test_requests_follow_each_other_on_a_connection_also_when_sent_ahead() -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            client.send("r1")
+            client.send("r2")
+            for _ in range(2):
+                assert (await read_message(client.reader)).body == b"s-0"
+            assert [m.headers["x-request-id"] for m in w.upstreams[0].seen] == ["r1", "r2"]
+
+    run(test())
+
+
+def test_a_flood_behind_an_open_request_is_cut_off() -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.upstreams[0].script = [never]
+            client = await w.client()
+            client.send("r1")
+            await w.upstreams[0].until(lambda: w.upstreams[0].seen)
+            client.writer.write(b"x" * 1_000_000)
+            await client.ended()
+            assert (await w.ask("r2")).status == 200
+
+    run(test())
+
+
+def test_more_open_requests_than_allowed_are_refused() -> None:
+    async def test() -> None:
+        settings = replace(SETTINGS, limits=replace(SETTINGS.limits, max_open=1))
+        async with world(settings=settings) as w:
+            w.upstreams[0].script = [never]
+            client = await w.client()
+            client.send("r1")
+            await w.upstreams[0].until(lambda: w.upstreams[0].seen)
+            assert (await w.ask("r2")).status == 503
+            client.close()
+
+    run(test())
+
+
+def test_at_the_cap_idle_clients_make_room_and_busy_ones_are_kept(heard: Heard) -> None:
+    async def test() -> None:
+        async with world(sockets=RESERVE + 2 * 2) as w:  # two clients, two connections to upstreams
+            go_on = asyncio.Event()
+            upstream: FakeUpstream = w.upstreams[0]
+
+            async def slow() -> bytes:
+                await go_on.wait()
+                return b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslow"
+
+            idle = await w.client()
+            assert (await idle.ask("r0")).status == 200
+            upstream.script = [slow, slow]
+            busy = [await w.client(), await w.client()]
+            for number, client in enumerate(busy):
+                client.send(f"b{number}")
+            await heard.until(lambda: len(heard.of(api.Arrival)) == 3)
+            await idle.ended()
+            late = await w.client()  # it waits in the backlog, and is answered once there is room
+            late.send("r1")
+            go_on.set()
+            for client in busy:
+                assert (await read_message(client.reader)).body == b"slow"
+            assert (await read_message(late.reader)).status == 200
+
+    run(test())
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,276 @@
+"""What comes back from an upstream, as the module hears it and as the client is answered."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any
+
+import h11
+import pytest
+
+from lanelift import interface as api
+from lanelift.decide import Balancer
+from lanelift.net import driver
+from lanelift.net.http import Connection, Exchange, Response
+from tests.fakes import SETTINGS, Heard, answer, free_port, never, read_message, run, world
+
+R = api.Result
+
+
+def test_a_request_goes_on_unchanged_and_its_answer_comes_back(heard: Heard) -> None:
+    async def test() -> None:
+        async with world() as w:
+            body = bytes(range(256)) * 256  # 64 KiB
+            load = "X-Load: inflight=7,util=0.5"
+            w.upstreams[0].script = [answer(200, body[::-1], "Content-Type: text/x", load)]
+            got = await w.ask("r1", "pay", "POST", body, "/pay/a%20b?x=1&obj=7f&y=", Idempotency_Key="k1",
+                              X_Cost_Hint=12000, X_Retry=1)
+            assert (got.status, got.body, got.headers["content-type"]) == (200, body[::-1], "text/x")
+            seen = w.upstreams[0].seen[-1]
+            assert seen.start[:2] == ["POST", "/pay/a%20b?x=1&obj=7f&y="] and seen.body == body
+            assert seen.headers["x-request-id"] == "r1" and seen.headers["idempotency-key"] == "k1"
+            assert 0 < int(seen.headers["x-deadline-ms"]) <= 3000
+            arrived, = heard.of(api.Arrival)
+            assert (arrived.cost_hint_ns, arrived.key, arrived.retry) == (12_000_000, "7f", True)
+            await heard.until(lambda: heard.of(api.Outcome))
+            outcome, = heard.of(api.Outcome)
+            assert (outcome.result, outcome.complete) == (R.OK, True)
+            assert outcome.report == {"inflight": 7.0, "util": 0.5}
+
+    run(test())
+
+
+@pytest.mark.parametrize(("reply", "result"), [
+    (answer(500), R.ERROR),
+    (answer(503, b"", "X-Not-Run: 1"), R.FULL),
+    (answer(504, b"", "X-Not-Run: 1"), R.FULL),
+    (answer(503), R.ERROR),
+    (None, R.RESET),
+    (answer(200, b"whole")[:-2], R.TIMEOUT),  # begun, and silent from then on
+    (answer(200, b"x" * 70_000), R.ERROR),
+    (b"not HTTP at all\r\n\r\n", R.RESET),
+    (never, R.TIMEOUT),
+])
+@pytest.mark.parametrize("kind", ["quote", "pay"])
+def test_outcomes(heard: Heard, reply: Any, result: api.Result, kind: str) -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.upstreams[0].script = [reply]
+            got = await w.ask("r1", kind, "GET" if kind == "quote" else "POST", X_Deadline_Ms=400)
+            await heard.until(lambda: heard.of(api.Outcome))
+            outcome, = heard.of(api.Outcome)
+            assert (outcome.request, outcome.attempt, outcome.result) == ("r1", 0, result)
+            assert not outcome.complete
+            if kind == "quote" or result is R.FULL:
+                assert got.status == 503 and 0 < float(got.headers["retry-after"]) <= 1
+            else:  # it may have run: no promise
+                assert got.status == (504 if result is R.TIMEOUT else 502)
+                assert "retry-after" not in got.headers
+
+    run(test())
+
+
+def test_refused_connection(heard: Heard) -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.upstreams[0].port = free_port()
+            await w.tell(w.upstreams[0].row())
+            assert (await w.ask("r1", "pay", "POST")).status == 503  # never ran: it may be refused
+            assert heard.results() == [R.CONNECT_FAILED]
+
+    run(test())
+
+
+def test_a_connection_that_never_comes_up(heard: Heard) -> None:
+    async def test() -> None:
+        # A listener whose backlog is full answers nothing to the next connection.
+        full = socket.socket()
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        waiting = [socket.socket() for _ in range(4)]
+        for sock in waiting:
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        limits = replace(SETTINGS.limits, connect_timeout_ns=100_000_000)
+        async with world(settings=replace(SETTINGS, limits=limits)) as w:
+            w.upstreams[0].port = full.getsockname()[1]
+            await w.tell(w.upstreams[0].row())
+            assert (await w.ask("r1", "pay", "POST")).status == 503
+            assert heard.results() == [R.CONNECT_FAILED]
+        for sock in (full, *waiting):
+            sock.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize(("size", "result"), [(10, R.RESET), (50_000_000, R.CONNECT_FAILED)])
+def test_a_break_before_the_last_byte_was_written_is_no_reset(size: int, result: api.Result) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        ended: asyncio.Future[api.Result] = loop.create_future()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.transport.abort()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        connection = Connection(lambda c: None, lambda c: None)
+        await loop.create_connection(lambda: connection, *server.sockets[0].getsockname())
+        headers = [("Host", "h"), ("Content-Length", str(size))]
+        request = h11.Request(method="POST", target="/", headers=headers)
+        connection.start(Exchange(request, b"x" * size, lambda r, response: ended.set_result(r)))
+        assert await ended is result
+        server.close()
+
+    run(test())
+
+
+def test_the_deadline_cuts_the_attempt_and_the_answer_comes_in_time(heard: Heard) -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.upstreams[0].script = [never]
+            got = await w.ask("r1", X_Deadline_Ms=300)
+            assert got.status == 503
+            assert int(w.upstreams[0].seen[-1].headers["x-deadline-ms"]) < 300
+            outcome, = heard.of(api.Outcome)
+            assert outcome.result is R.TIMEOUT and outcome.took_ns >= 250_000_000
+            # Giving up an attempt closes its connection: the upstream knows, and a late answer hits nobody.
+            await w.upstreams[0].until(lambda: w.upstreams[0].ended == 1)
+
+    run(test())
+
+
+def test_a_client_that_leaves(heard: Heard) -> None:
+    async def test() -> None:
+        async with world() as w:
+            w.upstreams[0].script = [never]
+            client = await w.client()
+            client.send("r1")
+            await w.upstreams[0].until(lambda: w.upstreams[0].seen)
+            client.close()
+            await heard.until(lambda: heard.of(api.ClientGone) and heard.of(api.Outcome))
+            outcome, = heard.of(api.Outcome)
+            assert (outcome.result, outcome.complete) == (R.CANCELLED, True)
+            await w.upstreams[0].until(lambda: w.upstreams[0].ended == 1)
+
+    run(test())
+
+
+class Puppet(Balancer):
+    """A module that does what a test says."""
+
+    acts: Callable[[api.Event], list[api.Action]]
+
+    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
+        return [action for event in events for action in type(self).acts(event)]
+
+
+def puppet(monkeypatch: pytest.MonkeyPatch, heard: Heard,
+           acts: Callable[[api.Event, int], list[api.Action]]) -> None:
+    """Have `acts` decide: it gets the event and the number of the first upstream listed."""
+    known: list[int] = []
+
+    def decide(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.ListUpdate):
+            known.extend(u.id for u in event.upstreams)
+        return acts(event, known[0]) if known else []
+
+    monkeypatch.setattr(Puppet, "acts", staticmethod(decide), raising=False)
+    monkeypatch.setattr(driver, "Balancer", heard.listen(Puppet))
+
+
+def test_a_send_that_cannot_start_is_moot(monkeypatch: pytest.MonkeyPatch) -> None:
+    heard = Heard()
+
+    def acts(event: api.Event, upstream: int) -> list[api.Action]:
+        if isinstance(event, api.Arrival):  # a second copy is not allowed, nor an upstream nobody listed
+            return [api.Send("r1", upstream), api.Send("r1", upstream), api.Send("r1", 99)]
+        return []
+
+    puppet(monkeypatch, heard, acts)
+
+    async def test() -> None:
+        limits = replace(SETTINGS.limits, max_attempts=5)
+        async with world(settings=replace(SETTINGS, limits=limits)) as w:
+            assert (await w.ask("r1")).status == 200
+            await heard.until(lambda: len(heard.of(api.Outcome)) == 3)
+            assert {o.attempt: o.result for o in heard.of(api.Outcome)} == {0: R.OK, 1: R.MOOT, 2: R.MOOT}
+            assert len(w.upstreams[0].seen) == 1
+
+    run(test())
+
+
+def test_a_failing_module_fails_the_request_and_is_logged(
+        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    def acts(event: api.Event, upstream: int) -> list[api.Action]:
+        if isinstance(event, api.Arrival) and event.request == "bad":
+            raise RuntimeError("out of its mind")
+        return [api.Send(event.request, upstream)] if isinstance(event, api.Arrival) else []
+
+    puppet(monkeypatch, Heard(), acts)
+
+    async def test() -> None:
+        async with world() as w:
+            assert (await w.ask("bad")).status == 502
+            assert (await w.ask("good")).status == 200
+        record, = [r for r in caplog.records if r.exc_info]
+        assert "bad" in record.getMessage()
+
+    run(test())
+
+
+def test_a_module_that_forgets_a_request(
+        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    heard = Heard()
+    puppet(monkeypatch, heard, lambda event, upstream: [])
+
+    async def test() -> None:
+        async with world() as w:
+            assert (await w.ask("r1", X_Deadline_Ms=100)).status == 504
+            await heard.until(lambda: heard.of(api.ClientGone))
+        assert "r1" in caplog.text
+
+    run(test())
+
+
+def test_each_probe_has_one_result(heard: Heard) -> None:
+    async def test() -> None:
+        settings = replace(SETTINGS, limits=replace(SETTINGS.limits, probes=True),
+                           report_columns=("inflight", "queue"))
+        async with world(settings=settings) as w:
+            assert (await w.ask("r1")).status == 200
+            probes = [m for m in w.upstreams[0].seen if m.start[1] == "/status/load"]
+            assert probes and "x-request-id" not in probes[0].headers
+            results = heard.of(api.ProbeResult)
+            assert len(results) == len(probes)
+            assert results[0].result is R.OK and results[0].report == {"inflight": 3.0, "queue": 1.0}
+
+    run(test())
+
+
+def test_an_answer_that_cannot_be_given_harms_no_other(monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    from lanelift.net.frontend import ClientConnection
+
+    served = ClientConnection.served
+
+    def fails(self: ClientConnection, response: Response) -> None:
+        if response.body == b"bad":
+            raise RuntimeError("no")
+        served(self, response)
+
+    monkeypatch.setattr(ClientConnection, "served", fails)
+
+    async def test() -> None:
+        async with world() as w:
+            w.upstreams[0].script = [answer(200, b"bad")]
+            client = await w.client()
+            client.send("r1")
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await read_message(client.reader)
+            assert (await w.ask("r2")).status == 200
+            assert heard.results() == [R.OK, R.OK]
+
+    run(test())
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,103 @@
+"""The program as the platform starts it: configuration, SIGTERM, exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.fakes import Client, FakeDiscovery, FakeUpstream, Message, free_port, read_message, run
+
+SETTINGS = {"profiles": [{"name": "quote", "repeat": "read_like", "aim_ns": 2_000_000_000,
+                          "hard_limit_ns": 2_500_000_000}]}
+
+
+def config(**changes: Any) -> dict[str, Any]:
+    return {"listen": f"127.0.0.1:{free_port()}", "discovery": f"127.0.0.1:{free_port()}", "seed": "8c1f",
+            "settings": SETTINGS, **changes}
+
+
+@pytest.mark.parametrize("text", [
+    None, "{not json", "[]", json.dumps(config(listen="nowhere")), json.dumps(config(seed="not hex")),
+    json.dumps(config(settings={"profiles": [{"name": 3}]})), json.dumps(config(settings=None)),
+    json.dumps(config(limits={"sockets": 3})), json.dumps(config(known={"version": 1}))])
+def test_bad_configuration_is_one_line_and_exit_2(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run([sys.executable, "-m", "lanelift"], capture_output=True, text=True, timeout=60,
+                          env={**os.environ, "BALANCER_CONFIG": str(path)}, check=False)
+    assert done.returncode == 2
+    assert done.stderr.startswith("lanelift: ") and done.stderr.count("\n") == 1
+
+
+def test_no_configuration() -> None:
+    environ = {name: value for name, value in os.environ.items() if not name.startswith("BALANCER_")}
+    done = subprocess.run([sys.executable, "-m", "lanelift"], capture_output=True, text=True, timeout=60,
+                          env=environ, check=False)
+    assert (done.returncode, done.stderr) == (2, "lanelift: BALANCER_CONFIG is not set\n")
+
+
+def test_sigterm_answers_what_is_open_and_what_still_comes(tmp_path: Path) -> None:
+    async def test() -> None:
+        upstream = FakeUpstream("s-0")
+        await upstream.start()
+        discovery = FakeDiscovery([upstream.row()])
+        await discovery.start()
+        go_on = asyncio.Event()
+
+        async def slow() -> bytes:
+            await go_on.wait()
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nslow"
+
+        upstream.script = [slow]
+        told = config(discovery=f"127.0.0.1:{discovery.port}", known=discovery.whole())
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(told))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lanelift", stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "BALANCER_CONFIG": str(path)})
+        address = ("127.0.0.1", int(told["listen"].rpartition(":")[2]))
+        try:
+            # It has seen discovery: so it listens, or is about to.
+            await discovery.until(lambda: any("from=" in m.start[1] for m in discovery.seen))
+            open_one, kept = await connect(address), await connect(address)
+            assert (await kept.ask("r", path="/ready")).status == 200
+            open_one.send("r1")
+            await upstream.until(lambda: len(upstream.seen) == 1)
+            process.send_signal(signal.SIGTERM)
+            while (ready := await kept.ask("r", path="/ready")).status == 200:
+                pass  # the signal is on its way
+            assert ready.headers["connection"] == "close"
+            late = await (await connect(address)).ask("r2")  # new connections go on coming
+            check_closing(late, b"s-0")
+            go_on.set()
+            check_closing(await read_message(open_one.reader), b"slow")
+            assert await process.wait() == 0
+            assert process.stderr is not None and await process.stderr.read() == b""
+        finally:
+            if process.returncode is None:
+                process.kill()
+            upstream.stop()
+            discovery.stop()
+
+    run(test())
+
+
+def check_closing(message: Message, body: bytes) -> None:
+    assert (message.status, message.body, message.headers["connection"]) == (200, body, "close")
+
+
+async def connect(address: tuple[str, int]) -> Client:
+    while True:
+        try:
+            return await Client.to(address)
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/tests/test_upstreams.py
@@ -0,0 +1,153 @@
+"""Connections to upstreams, and what discovery and other balancers tell."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from dataclasses import replace
+
+import pytest
+
+from lanelift import interface as api
+from lanelift.decide import Balancer
+from lanelift.net import driver
+from lanelift.net.discovery import number_of, read_endpoint, split_address
+from lanelift.settings import Malformed
+from tests.fakes import SECOND, SETTINGS, Heard, run, world
+
+
+def test_connections_are_kept_and_a_stale_one_is_not_used(heard: Heard) -> None:
+    async def test() -> None:
+        async with world() as w:
+            upstream = w.upstreams[0]
+            for name in ("r1", "r2"):
+                assert (await w.ask(name)).status == 200
+            assert [m.link for m in upstream.seen] == [1, 1]
+            upstream.close_links()
+            await upstream.until(lambda: upstream.ended == 1)
+            assert (await w.ask("r3")).status == 200
+            assert upstream.seen[-1].link == 2
+            assert heard.results() == [api.Result.OK] * 3
+
+    run(test())
+
+
+def test_idle_connections_go_before_the_upstream_closes_them() -> None:
+    async def test() -> None:
+        limits = replace(SETTINGS.limits, conn_idle_ns=SECOND // 5)
+        async with world(settings=replace(SETTINGS, limits=limits)) as w:
+            assert (await w.ask("r1")).status == 200
+            await w.upstreams[0].until(lambda: w.upstreams[0].ended == 1)
+
+    run(test())
+
+
+@pytest.mark.parametrize("change", ["drain", "restart", "gone"])
+def test_what_drains_restarts_or_goes_loses_its_idle_connections(change: str) -> None:
+    async def test() -> None:
+        async with world(2) as w:
+            upstream, other = w.upstreams
+            while not upstream.seen:  # the module picks at random
+                assert (await w.ask(f"r{len(other.seen)}")).status == 200
+            row = {"drain": upstream.row("Terminating"), "gone": upstream.row("Gone"),
+                   "restart": upstream.row("Ready", int(time.time() * 1000))}[change]
+            await w.tell(row)
+            await upstream.until(lambda: upstream.ended == len(upstream.links))
+            count = len(upstream.seen)
+            for number in range(8):
+                assert (await w.ask(f"n{number}")).status == 200
+            assert change == "restart" or len(upstream.seen) == count
+
+    run(test())
+
+
+def test_an_outage_keeps_the_old_list_and_the_whole_one_comes_after_it(heard: Heard) -> None:
+    async def test() -> None:
+        async with world(2) as w:
+            await w.watching()
+            w.discovery.down = True
+            w.discovery.close_links()
+            gone, stays = w.upstreams
+            assert (await w.ask("r1")).status == 200
+            w.discovery.change(gone.row("Gone"))
+            calls = len(w.discovery.seen)
+            await w.discovery.until(lambda: len(w.discovery.seen) > calls + 1)  # it tries again, and again
+            w.discovery.down = False
+            await w.watching()
+            last = [e for e in heard.of(api.ListUpdate) if e.kind is api.ListKind.FULL][-1]
+            assert [u.id for u in last.upstreams] == [number_of(stays.name)]
+            assert (await w.ask("r2")).body == stays.name.encode()
+
+    run(test())
+
+
+def test_where_discovery_is_asked_a_failed_call_is_told_and_the_module_asks_again(heard: Heard) -> None:
+    async def test() -> None:
+        settings = replace(SETTINGS, discovery_push=False, rules=api.Rules(ask_within_ns=SECOND // 2))
+        async with world(settings=settings) as w:
+            w.discovery.down = True
+            await heard.until(lambda: api.ListKind.FAILED in [e.kind for e in heard.of(api.ListUpdate)])
+            w.discovery.down = False
+            await w.watching()
+            assert (await w.ask("r1")).status == 200
+
+    run(test())
+
+
+def test_a_list_entry() -> None:
+    now_ms = time.time_ns() // 1_000_000
+    row = {"id": "s-5be2a07c", "addr": "127.0.0.9:8000", "state": "Ready", "started_ms": now_ms - 5000}
+    first, again = read_endpoint(row), read_endpoint(row)
+    assert first == again and (first.host, first.port) == ("127.0.0.9", 8000)
+    # The module's clock is monotonic: five seconds ago by it, too.
+    assert abs(time.monotonic_ns() - first.entry.started_ns - 5 * SECOND) < SECOND
+    assert read_endpoint({**row, "started_ms": 0}).entry.started_ns == 0
+    # Balancers must compute the same number, now and in any later version.
+    assert number_of("s-5be2a07c") == first.entry.id == 9587356208999800076
+    for bad in ({**row, "addr": "nowhere"}, {**row, "state": "Odd"}, {"addr": "127.0.0.1:1"}, 7):
+        with pytest.raises(Malformed):
+            read_endpoint(bad)
+    assert split_address("[::1]:80") == ("::1", 80)
+
+
+def test_peers(heard: Heard) -> None:
+    async def test() -> None:
+        with socket.socket(type=socket.SOCK_DGRAM) as peer, socket.socket(type=socket.SOCK_DGRAM) as odd, \
+                socket.socket(type=socket.SOCK_DGRAM) as own:
+            for sock in (peer, odd, own):
+                sock.bind(("127.0.0.1", 0))
+                sock.setblocking(False)
+            address = own.getsockname()
+            own.close()
+            async with world(peer_listen=address, peers=[address, peer.getsockname()],
+                             peers_all=peer.getsockname()):
+                await heard.until(lambda: heard.of(api.ListUpdate))
+                odd.sendto(b"from nobody", address)
+                peer.sendto(b"x" * 300, address)
+                peer.sendto(b"hello", address)
+                await heard.until(lambda: heard.of(api.PeerMessage))
+                assert heard.of(api.PeerMessage) == [api.PeerMessage(1, b"hello")]
+
+    run(test())
+
+
+def test_a_message_is_told_to_one_peer_or_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Teller(Balancer):
+        def handle(self, now: int, events: object) -> list[api.Action]:
+            return [api.Tell(b"one", 0), api.Tell(b"all")]
+
+    monkeypatch.setattr(driver, "Balancer", Teller)
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket(type=socket.SOCK_DGRAM) as peer, socket.socket(type=socket.SOCK_DGRAM) as everyone:
+            for sock in (peer, everyone):
+                sock.bind(("127.0.0.1", 0))
+                sock.setblocking(False)
+            async with world(peer_listen=("127.0.0.1", 0), peers=[peer.getsockname()],
+                             peers_all=everyone.getsockname()):
+                assert await loop.sock_recv(peer, 300) == b"one"
+                assert await loop.sock_recv(everyone, 300) == b"all"
+
+    run(test())
