--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -91,7 +91,7 @@
         self.requests[request.arrival.request] = request
         self.open += 1
         left = (request.arrival.deadline_ns - time.monotonic_ns()) / 1e9
-        request.overdue = self.loop.call_later(max(0.0, left) + OVERDUE_S, self._overdue, request)
+        request.overdue = self.loop.call_later(max(0.0, left) + OVERDUE_S, self._soon_overdue, request)
         self.post(request.arrival)
         return True
 
@@ -139,6 +139,11 @@
             log.exception("request %s: its answer failed", request.arrival.request)
             request.client.abort()
 
+    def _soon_overdue(self, request: OpenRequest) -> None:
+        # When the loop has stood still, the attempt's time-out is due on the same turn as this, and waits to
+        # be handed over: without one more turn a refusal with its Retry-After would come out as a failure.
+        self.loop.call_soon(self._overdue, request)
+
     def _overdue(self, request: OpenRequest) -> None:
         """The module owes an answer and the client's time is over: the rule is kept here, and logged."""
         if self._end(request):
