--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -260,6 +260,15 @@
     async def client(self) -> Client:
         return await Client.to(self.address)
 
+    async def held(self, name: str, **more: Any) -> Client:
+        """A client whose request is at the first upstream, which says nothing to it."""
+        upstream = self.upstreams[0]
+        upstream.script = [never]
+        client = await self.client()
+        client.send(name, **more)
+        await upstream.until(lambda: upstream.seen)
+        return client
+
     async def tell(self, *rows: Json) -> None:
         """Have discovery tell a change, and wait until the balancer has it: it then watches from there on."""
         await self.watching()
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -9,7 +9,7 @@
 
 from lanelift import interface as api
 from lanelift.__main__ import RESERVE
-from tests.fakes import SETTINGS, FakeUpstream, Heard, never, read_message, run, world
+from tests.fakes import SETTINGS, FakeUpstream, Heard, read_message, run, world
 
 
 def test_ready_once_the_module_can_serve() -> None:
@@ -67,10 +67,7 @@
 def test_an_id_that_is_open_already() -> None:
     async def test() -> None:
         async with world() as w:
-            w.upstreams[0].script = [never]
-            first = await w.client()
-            first.send("r1")
-            await w.upstreams[0].until(lambda: w.upstreams[0].seen)
+            first = await w.held("r1")
             assert (await w.ask("r1")).status == 409
             first.close()
 
@@ -93,10 +90,7 @@
 def test_a_flood_behind_an_open_request_is_cut_off() -> None:
     async def test() -> None:
         async with world() as w:
-            w.upstreams[0].script = [never]
-            client = await w.client()
-            client.send("r1")
-            await w.upstreams[0].until(lambda: w.upstreams[0].seen)
+            client = await w.held("r1")
             client.writer.write(b"x" * 1_000_000)
             await client.ended()
             assert (await w.ask("r2")).status == 200
@@ -108,10 +102,7 @@
     async def test() -> None:
         settings = replace(SETTINGS, limits=replace(SETTINGS.limits, max_open=1))
         async with world(settings=settings) as w:
-            w.upstreams[0].script = [never]
-            client = await w.client()
-            client.send("r1")
-            await w.upstreams[0].until(lambda: w.upstreams[0].seen)
+            client = await w.held("r1")
             assert (await w.ask("r2")).status == 503
             client.close()
 
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -149,10 +149,7 @@
 def test_after_a_stall_the_module_still_has_the_last_word(heard: Heard) -> None:
     async def test() -> None:
         async with world() as w:
-            w.upstreams[0].script = [never]
-            client = await w.client()
-            client.send("r1", X_Deadline_Ms=300)
-            await w.upstreams[0].until(lambda: w.upstreams[0].seen)
+            client = await w.held("r1", X_Deadline_Ms=300)
             time.sleep(0.4)  # the whole loop stands still, past every timer of the request
             got = await read_message(client.reader)
             assert got.status == 503 and "retry-after" in got.headers
@@ -164,10 +161,7 @@
 def test_a_client_that_leaves(heard: Heard) -> None:
     async def test() -> None:
         async with world() as w:
-            w.upstreams[0].script = [never]
-            client = await w.client()
-            client.send("r1")
-            await w.upstreams[0].until(lambda: w.upstreams[0].seen)
+            client = await w.held("r1")
             client.close()
             await heard.until(lambda: heard.of(api.ClientGone) and heard.of(api.Outcome))
             outcome, = heard.of(api.Outcome)
