Driver: end a request and give its answer in one place

Five places marked a request as over and then answered it, as a pair that must stay together; _answer now does both and says whether it did.

--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -127,17 +127,20 @@
         log.exception("%s; requests %s", what, " ".join(names) or "-")
         for name in names:
             request = self.requests.get(name)
-            if request is not None and self._end(request):
-                self._answer(request, lambda client: client.failed(502))
+            if request is not None and self._answer(request, lambda client: client.failed(502)):
                 self.post(api.ClientGone(name))
 
-    def _answer(self, request: OpenRequest, how: Callable[[Client], None]) -> None:
-        """Give the final answer. One that can't be given must not take the events behind it along."""
+    def _answer(self, request: OpenRequest, how: Callable[[Client], None]) -> bool:
+        """End a request with its final answer; False, and no answer, if it was over already. An answer that
+        can't be given must not take the events behind it along."""
+        if not self._end(request):
+            return False
         try:
             how(request.client)
         except Exception:
             log.exception("request %s: its answer failed", request.arrival.request)
             request.client.abort()
+        return True
 
     def _soon_overdue(self, request: OpenRequest) -> None:
         # When the loop has stood still, the attempt's time-out is due on the same turn as this, and waits to
@@ -146,9 +149,8 @@
 
     def _overdue(self, request: OpenRequest) -> None:
         """The module owes an answer and the client's time is over: the rule is kept here, and logged."""
-        if self._end(request):
+        if self._answer(request, lambda client: client.failed(504)):
             log.error("request %s was not answered by its deadline", request.arrival.request)
-            self._answer(request, lambda client: client.failed(504))
             self.post(api.ClientGone(request.arrival.request))
 
     # ---- actions -----------------------------------------------------------------------------------------
@@ -159,15 +161,15 @@
                 self._send(action, now)
             case api.Refuse():
                 request = self.requests.get(action.request)
-                if request is not None and self._end(request):
-                    self._answer(request, lambda client: client.refused(action.retry_after_ns))
+                if request is not None and self._answer(
+                        request, lambda client: client.refused(action.retry_after_ns)):
                     self._forget(action.request)
             case api.Fail():
                 request = self.requests.get(action.request)
-                if request is not None and self._end(request):
+                if request is not None:
                     status = 504 if request.timed_out else 502
-                    self._answer(request, lambda client: client.failed(status))
-                    self._forget(action.request)
+                    if self._answer(request, lambda client: client.failed(status)):
+                        self._forget(action.request)
             case api.Cancel():
                 request = self.requests.get(action.request)
                 exchange = request.attempts[action.attempt] if request is not None else None
@@ -225,7 +227,7 @@
         request.attempts[number] = None
         request.sent -= 1
         request.timed_out = result is api.Result.TIMEOUT
-        if result is api.Result.OK and response is not None and self._end(request):
+        if result is api.Result.OK and response is not None:
             self._answer(request, lambda client: client.served(response))
         name = request.arrival.request
         self.post(api.Outcome(name, number, upstream, result, took_ns, request.over, report))
@@ -238,7 +240,7 @@
             ended(api.Result.CONNECT_FAILED, None)
 
     def _end(self, request: OpenRequest) -> bool:
-        """Mark a request as over; False if it was already. Whoever gets True gives the final answer."""
+        """Mark a request as over; False if it was already."""
         if request.over:
             return False
         request.over = True
