SIGHUP: read the file again and move to the discovery it names

A discovery that counts its versions from lower was ignored, and a call hung in a watch or a back-off delayed the new address. Now the old call is dropped, the version starts over, and an unforeseen exception no longer ends the watch unseen.

--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import gc
 import json
 import logging
@@ -79,6 +80,44 @@
     return listener
 
 
+class Reloader:
+    """SIGHUP: the file is read again, off the loop, and what may change in a running balancer is applied.
+    A file that can't be used leaves everything as it was."""
+
+    APPLIED = frozenset({"discovery"})
+    AT_START = frozenset({"seed", "known"})  # they matter to a start only, and may differ at each reading
+
+    def __init__(self, config: Config, discovery: Discovery) -> None:
+        self.config = config
+        self.discovery = discovery
+        self.asked = False  # once more, for a file that was replaced while it was being read
+        self.task: asyncio.Task[None] | None = None
+
+    def reload(self) -> None:
+        self.asked = True
+        if self.task is None or self.task.done():
+            self.task = asyncio.get_running_loop().create_task(self._reload())
+
+    async def _reload(self) -> None:
+        while self.asked:
+            self.asked = False
+            try:
+                self._apply(await asyncio.to_thread(read_config, os.environ))
+            except Exception as error:
+                logging.error("configuration not reloaded: %s", error)
+
+    def _apply(self, new: Config) -> None:
+        changed = {f.name for f in dataclasses.fields(Config)
+                   if getattr(new, f.name) != getattr(self.config, f.name)} - self.AT_START
+        left = sorted(changed - self.APPLIED)
+        if left:
+            logging.warning("reload: a change of %s needs a restart", ", ".join(left))
+        if "discovery" in changed:
+            self.discovery.move(new.discovery)
+            self.config = dataclasses.replace(self.config, discovery=new.discovery)
+        logging.info("configuration reloaded: discovery at %s:%d", *new.discovery)
+
+
 async def serve(config: Config, listener: socket.socket) -> None:
     loop = asyncio.get_running_loop()
     settings = config.settings
@@ -93,6 +132,8 @@
     frontend = Frontend(driver, listener, most)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, frontend.drain)
+    loop.add_signal_handler(signal.SIGHUP, Reloader(config, discovery).reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     gc.collect()
     gc.freeze()  # what is there now stays: no collection need look at it again
     longest = max((c.deadline_ns for c in settings.classes.values()), default=0) / 1e9
@@ -110,6 +151,8 @@
 
 def main() -> int:
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(levelname)s %(message)s")
+    # A reload that is asked for before the loop runs waits until then: by itself the signal ends the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         config = read_config(os.environ)
         listener = listening_socket(config.listen)
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -76,7 +76,6 @@
     def __init__(self, driver: Driver, address: tuple[str, int], seed: int) -> None:
         self.driver = driver
         self.address = address
-        self.host = f"{address[0]}:{address[1]}".encode()
         self.rng = random.Random(seed)
         self.push = driver.settings.discovery_push
         self.version = -1
@@ -98,6 +97,20 @@
             self.watching.cancel()
         self.watching = asyncio.get_running_loop().create_task(self._watch()) if on else None
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere from now on. What hangs at the old address, or waits to try it again, must
+        not hold up the new one. That one counts its versions for itself: its first whole list stands."""
+        self.address = address
+        self.version = -1
+        if self.connection is not None:
+            self.connection.abort()
+        if self.watching is not None and not self.watching.done():
+            self.subscribe(True)
+        if self.fetching is not None and not self.fetching.done():
+            self.fetching.cancel()
+            self.fetching = None
+            self.fetch()
+
     def fetch(self) -> None:
         if self.fetching is None or self.fetching.done():
             self.fetching = asyncio.get_running_loop().create_task(self._fetch())
@@ -119,20 +132,25 @@
                 while True:
                     await self._call(b"/v1/endpoints?from=%d&hold_ms=%d" % (self.version, HOLD_MS),
                                      HOLD_MS / 1000 + AFTER_HOLD_S)
-            except (Unanswered, Malformed) as error:
+            except Exception as error:
                 # The old list stands. Balancers must not all come back together.
-                log.warning("discovery: %s", error)
+                self._failed(error)
                 if not self.push:
                     self.driver.learn(api.ListKind.FAILED, [])  # the module says when to ask again
                     return
                 await asyncio.sleep(wait * self.rng.uniform(0.5, 1.0))
                 wait = min(2 * wait, BACKOFF_S[1])
 
+    def _failed(self, error: Exception) -> None:
+        """One line for what may happen. What nobody thought of must not end the watch for good, unseen."""
+        expected = isinstance(error, Unanswered | Malformed)
+        log.warning("discovery: %s", error or type(error).__name__, exc_info=None if expected else error)
+
     async def _fetch(self) -> None:
         try:
             await self._call(b"/v1/endpoints", CALL_S)
-        except (Unanswered, Malformed) as error:
-            log.warning("discovery: %s", error)
+        except Exception as error:
+            self._failed(error)
             self.driver.learn(api.ListKind.FAILED, [])
 
     async def _call(self, target: bytes, wait_s: float) -> None:
@@ -168,7 +186,8 @@
             if not answer.done():
                 answer.set_result((result, response))
 
-        request = h11.Request(method="GET", target=target, headers=[(b"Host", self.host)])
+        host = f"{self.address[0]}:{self.address[1]}".encode()
+        request = h11.Request(method="GET", target=target, headers=[(b"Host", host)])
         exchange = Exchange(request, b"", ended, MAX_LIST)
         exchange.expire_in(wait_s)
         self.connection.start(exchange)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -158,7 +158,7 @@
 
 
 class FakeDiscovery(Server):
-    """Tells a list and its changes; `down` makes it break every call."""
+    """Tells a list and its changes; `down` makes it break every call, `silent` leave it open."""
 
     def __init__(self, rows: Iterable[Json]) -> None:
         super().__init__(self._tell)
@@ -166,6 +166,7 @@
         self.version = 1
         self.changes: list[Json] = []
         self.down = False
+        self.silent = False
 
     def change(self, *rows: Json) -> None:
         self.version += 1
@@ -180,6 +181,8 @@
     async def _tell(self, message: Message) -> bytes | None:
         if self.down:
             return None
+        if self.silent:
+            return await never()
         if "from=" not in message.start[1]:
             return answer(200, json.dumps(self.whole()).encode())
         known = int(message.start[1].partition("from=")[2].partition("&")[0])
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,6 +8,8 @@
 import signal
 import subprocess
 import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -45,6 +47,24 @@
     assert (done.returncode, done.stderr) == (2, "lanelift: BALANCER_CONFIG is not set\n")
 
 
+@asynccontextmanager
+async def program(path: Path, told: dict[str, Any]) -> AsyncIterator[asyncio.subprocess.Process]:
+    path.write_text(json.dumps(told))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "lanelift", stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "BALANCER_CONFIG": str(path)})
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+def listen_address(told: dict[str, Any]) -> tuple[str, int]:
+    return "127.0.0.1", int(told["listen"].rpartition(":")[2])
+
+
 def test_sigterm_answers_what_is_open_and_what_still_comes(tmp_path: Path) -> None:
     async def test() -> None:
         upstream = FakeUpstream("s-0")
@@ -59,13 +79,8 @@
 
         upstream.script = [slow]
         told = config(discovery=f"127.0.0.1:{discovery.port}", known=discovery.whole())
-        path = tmp_path / "config.json"
-        path.write_text(json.dumps(told))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "lanelift", stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "BALANCER_CONFIG": str(path)})
-        address = ("127.0.0.1", int(told["listen"].rpartition(":")[2]))
-        try:
+        async with program(tmp_path / "config.json", told) as process:
+            address = listen_address(told)
             # It has seen discovery: so it listens, or is about to.
             await discovery.until(lambda: any("from=" in m.start[1] for m in discovery.seen))
             open_one, kept = await connect(address), await connect(address)
@@ -81,11 +96,54 @@
             check_closing(await read_message(open_one.reader), b"slow")
             assert await process.wait() == 0
             assert process.stderr is not None and await process.stderr.read() == b""
-        finally:
-            if process.returncode is None:
-                process.kill()
-            upstream.stop()
-            discovery.stop()
+        upstream.stop()
+        discovery.stop()
+
+    run(test())
+
+
+@pytest.mark.parametrize("old", ["holds a watch", "holds its first call", "refuses"])
+def test_sighup_moves_to_another_discovery(tmp_path: Path, old: str) -> None:
+    async def test() -> None:
+        first, second = FakeUpstream("s-0"), FakeUpstream("s-1")
+        await first.start()
+        await second.start()
+        before, after = FakeDiscovery([first.row()]), FakeDiscovery([second.row()])
+        before.version = 41  # the new one counts from lower
+        before.silent = old == "holds its first call"
+        if old != "refuses":
+            await before.start()
+        await after.start()
+        told = config(known=before.whole())
+        if old != "refuses":
+            told["discovery"] = f"127.0.0.1:{before.port}"
+        path = tmp_path / "config.json"
+        async with program(path, told) as process:
+            assert process.stderr is not None
+            address = listen_address(told)
+            if old == "refuses":
+                assert b"no connection" in await process.stderr.readline()
+            else:
+                target = "from=41&" if old == "holds a watch" else "/v1/endpoints"
+                await before.until(lambda: any(target in m.start[1] for m in before.seen))
+            assert (await (await connect(address)).ask("r1")).body == b"s-0"
+            # A file that can't be used changes nothing, and costs a line.
+            path.write_text("{not json")
+            process.send_signal(signal.SIGHUP)
+            while b"not reloaded" not in (line := await process.stderr.readline()):
+                assert line
+            assert (await (await connect(address)).ask("r2")).body == b"s-0"
+            path.write_text(json.dumps({**told, "discovery": f"127.0.0.1:{after.port}"}))
+            process.send_signal(signal.SIGHUP)
+            await asyncio.wait_for(after.until(lambda: any("from=1&" in m.start[1] for m in after.seen)), 4)
+            assert (await (await connect(address)).ask("r3")).body == b"s-1"
+            process.send_signal(signal.SIGTERM)
+            late = await connect(address)
+            process.send_signal(signal.SIGHUP)  # it neither ends the drain nor starts it over
+            check_closing(await late.ask("r4"), b"s-1")
+            assert await process.wait() == 0
+        for server in (first, second, before, after):
+            server.stop()
 
     run(test())
 
