Answers: nothing behind one answers another request; what is spoilt is an error

Cause of 2846 mixed-up answers: Connection._complete left the bytes behind an answer in the parser, and the next request read them. Ruled out: short lengths (none seen). Broken framing was RESET, which barred healthy upstreams; it is an ERROR now. A shortage of connections here is MOOT and bars nobody either. Load figures that are no amount are not believed. What could not start has one outcome.

--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -122,7 +122,7 @@
     loop = asyncio.get_running_loop()
     settings = config.settings
     most = (config.sockets - RESERVE) // 2
-    upstreams = Upstreams(settings.limits, most, bool(settings.report_columns))
+    upstreams = Upstreams(settings.limits, most, settings.report_columns)
     driver = Driver(settings, config.seed, upstreams)
     if config.peer_listen is not None and settings.limits.peers:
         _, driver.peers = await loop.create_datagram_endpoint(
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -16,6 +16,7 @@
 from lanelift.interface import Result
 
 MAX_BODY = 64 * 1024
+MAX_INTERIM = 8  # 1xx answers ahead of the one that counts: more are no answer that will ever end
 Headers = Sequence[tuple[bytes, bytes]]
 
 HOP_BY_HOP = frozenset({b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization",
@@ -41,6 +42,10 @@
         return next((value for key, value in self.headers if key == name), None)
 
 
+class Spoilt(Exception):
+    """An answer that can't be what the server meant to say."""
+
+
 class Exchange:
     """A request and its end, told exactly once: OK with a whole response, or why there is none."""
 
@@ -94,6 +99,7 @@
         self.exchange: Exchange | None = None
         self.response: h11.Response | None = None
         self.body = bytearray()
+        self.interim = 0
         self.idle_since = 0.0
         self.closed = False
 
@@ -104,13 +110,14 @@
 
     def start(self, exchange: Exchange) -> None:
         assert self.transport is not None
-        self.exchange, exchange.connection = exchange, self
-        self.response = None
-        self.body.clear()
         data = self.http.send(exchange.request) or b""
         if exchange.body:
             data += self.http.send(h11.Data(data=exchange.body)) or b""
         data += self.http.send(h11.EndOfMessage()) or b""
+        self.exchange, exchange.connection = exchange, self
+        self.response = None
+        self.interim = 0
+        self.body.clear()
         exchange.written = True  # unless the transport says at once that it could not take all
         self.transport.write(data)
 
@@ -123,49 +130,61 @@
             self.exchange.written = True
 
     def data_received(self, data: bytes) -> None:
-        if self.exchange is None:
+        exchange = self.exchange
+        if exchange is None:
             self.abort()  # bytes that nobody asked for
             return
         try:
             self.http.receive_data(data)
-            self._read()
-        except h11.RemoteProtocolError:
+            self._read(exchange)
+        except (h11.RemoteProtocolError, Spoilt):
+            # The server has answered, if with what can't be read: its work is done and it is no break of the
+            # network. Nothing on this connection can be believed any more.
+            exchange.finish(Result.ERROR)
             self.abort()
 
     def eof_received(self) -> None:
-        if self.exchange is not None and not self.closed:
-            try:
-                self.http.receive_data(b"")  # it ends a body that has no length of its own
-                self._read()
-            except h11.RemoteProtocolError:
-                self.abort()
-
-    def _read(self) -> None:
-        exchange = self.exchange
-        while exchange is not None:
+        self.abort()  # an answer that was under way is not whole: each has a length of its own
+
+    def _read(self, exchange: Exchange) -> None:
+        while True:
             event = self.http.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
             if isinstance(event, h11.Response):
+                self._check_framing(event, exchange.max_body)
                 self.response = event
+            elif isinstance(event, h11.InformationalResponse):
+                self.interim += 1
+                if self.interim > MAX_INTERIM:
+                    raise Spoilt("1xx answers without end")
             elif isinstance(event, h11.Data):
                 self.body += event.data
                 if len(self.body) > exchange.max_body:
-                    exchange.finish(Result.ERROR)
-                    self.abort()
-                    return
+                    raise Spoilt("the body is too large")
             elif isinstance(event, h11.EndOfMessage) and self.response is not None:
                 self._complete(exchange, self.response)
                 return
-            elif isinstance(event, h11.ConnectionClosed):
-                self.abort()
-                return
+            else:
+                raise Spoilt("no answer")
+
+    def _check_framing(self, answer: h11.Response, max_body: int) -> None:
+        """Only an answer that tells its own end, and in one way, can be told from one that was cut off. One
+        that is said to be too large is not read to find out."""
+        lengths = [value for name, value in answer.headers if name == b"content-length"]
+        chunked = any(name == b"transfer-encoding" for name, _ in answer.headers)
+        empty = answer.status_code in (204, 304)
+        if bool(lengths) + chunked != 1 and not empty:
+            raise Spoilt("no length, or two")
+        if lengths and int(lengths[0]) > max_body:
+            raise Spoilt("the body is too large")
 
     def _complete(self, exchange: Exchange, answer: h11.Response) -> None:
         response = Response(answer.status_code, list(answer.headers), bytes(self.body))
         self.exchange = None
-        whole = exchange.written
-        if whole and self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+        # What stands behind an answer, a second copy or noise, would be read as the next request's.
+        clean = exchange.written and not self.http.trailing_data[0]
+        if clean and self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
             self.released(self)
         else:
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
-from collections.abc import Callable, Iterable, Mapping
+import math
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import h11
@@ -15,6 +17,11 @@
 log = logging.getLogger(__name__)
 
 IDLE_PART = 0.6  # of the time after which upstreams close idle connections; then they are dropped here
+# A connection is used again at once only if there is no other: what comes late behind an answer, a second
+# copy or noise, would answer the next request. What was written together is seen within this time.
+SETTLE_S = 0.002
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
+QUIET_S = 5.0  # between two lines about one and the same shortage
 NEVER_RAN = (503, 504)
 Report = Mapping[str, float] | None
 Done = Callable[[api.Result, Response | None, Report], None]
@@ -45,13 +52,15 @@
 
 
 class Upstreams:
-    def __init__(self, limits: api.Limits, max_connections: int, reports: bool) -> None:
+    def __init__(self, limits: api.Limits, max_connections: int, columns: Collection[str]) -> None:
         self.connect_timeout = limits.connect_timeout_ns / 1e9
         self.idle_s = limits.conn_idle_ns * IDLE_PART / 1e9
         self.max_connections = max_connections
-        self.probe_path = b"/status/load" if reports else b"/health"
+        self.columns = frozenset(columns)
+        self.probe_path = b"/status/load" if columns else b"/health"
         self.targets: dict[int, Target] = {}
         self.connections = 0  # those open and those being opened
+        self.quiet_until = 0.0  # the shortage of connections is not logged again before
         self.connecting: set[asyncio.Task[None]] = set()
 
     # ---- the list ----------------------------------------------------------------------------------------
@@ -93,12 +102,12 @@
             return None
 
         def ended(result: api.Result, response: Response | None) -> None:
-            report = read_report(response.header(b"x-load")) if response is not None else None
+            report = self._report(response.header(b"x-load")) if response is not None else None
             done(outcome(result, response), response, report)
 
         exchange = Exchange(request, body, ended)
-        exchange.expire_in(timeout_s)
         self._start(target, exchange)
+        exchange.expire_in(timeout_s)  # last: what could not start must not come to a second end
         return exchange
 
     def probe(self, number: int, done: Callable[[api.Result, Report], None]) -> bool:
@@ -114,43 +123,66 @@
                     result = api.Result.FULL
                 else:
                     result = outcome(result, response)
-                report = read_report(response.header(b"x-load") or response.body)
+                report = self._report(response.header(b"x-load") or response.body)
             done(result, report)
 
         request = h11.Request(method="GET", target=self.probe_path, headers=[(b"Host", host)])
         exchange = Exchange(request, b"", ended)
-        exchange.expire_in(self.connect_timeout)
         self._start(target, exchange)
+        exchange.expire_in(self.connect_timeout)
         return True
 
+    def _report(self, text: bytes | None) -> Report:
+        return read_report(text, self.columns)
+
     # ---- connections -------------------------------------------------------------------------------------
 
     def _start(self, target: Target, exchange: Exchange) -> None:
-        while target.idle:
-            connection = target.idle.pop()  # the newest: the others may come to rest and close
-            if connection.transport is not None and not connection.transport.is_closing():
-                connection.start(exchange)
-                return
+        loop = asyncio.get_running_loop()
+        connection = self._idle(target, loop.time())
+        if connection is not None:
+            connection.start(exchange)
+            return
         if self.connections >= self.max_connections and not self._make_room():
-            log.warning("no connection to spare: %d open", self.connections)
-            asyncio.get_running_loop().call_soon(exchange.give_up, api.Result.CONNECT_FAILED)
+            self._short()
+            loop.call_soon(exchange.give_up, api.Result.MOOT)
             return
         self.connections += 1
-        task = asyncio.get_running_loop().create_task(self._connect(target, exchange))
+        task = loop.create_task(self._connect(target, exchange))
         self.connecting.add(task)
         task.add_done_callback(self.connecting.discard)
 
+    def _idle(self, target: Target, now: float) -> Connection | None:
+        """The newest that has settled: the others may come to rest and close. Failing that, the oldest."""
+        settled = next((c for c in reversed(target.idle) if now - c.idle_since >= SETTLE_S), None)
+        while target.idle:
+            connection = settled or target.idle[0]
+            target.idle.remove(connection)
+            if connection.transport is not None and not connection.transport.is_closing():
+                return connection
+            settled = None
+        return None
+
+    def _short(self) -> None:
+        """Said once in a while, not for each request: where it is short, all meet with it."""
+        now = asyncio.get_running_loop().time()
+        if now >= self.quiet_until:
+            self.quiet_until = now + QUIET_S
+            log.warning("no connection to spare: %d open", self.connections)
+
     async def _connect(self, target: Target, exchange: Exchange) -> None:
         connection = Connection(lambda c: self._released(target, c), lambda c: self._lost(target, c))
         try:
             async with asyncio.timeout(self.connect_timeout):
                 await asyncio.get_running_loop().create_connection(
                     lambda: connection, target.endpoint.host, target.endpoint.port)
-        except OSError:  # a time-out is one, too
+        except Exception as error:  # OSError, and whatever an address that is none may raise
             if connection.transport is None:
                 self.connections -= 1
             connection.abort()
-            exchange.give_up(api.Result.CONNECT_FAILED)
+            # For want of descriptors here no upstream is to blame.
+            here = isinstance(error, OSError) and error.errno in NO_DESCRIPTOR
+            exchange.give_up(api.Result.MOOT if here else api.Result.CONNECT_FAILED)
             return
         if connection.closed:
             exchange.give_up(api.Result.CONNECT_FAILED)
@@ -223,15 +255,18 @@
     return api.Result.ERROR
 
 
-def read_report(text: bytes | None) -> Report:
-    """`inflight=7,queue=2`: what can be read of it."""
+def read_report(text: bytes | None, columns: Collection[str]) -> Report:
+    """`inflight=7,queue=2`: what can be read of it, and was agreed on. A figure that is no amount of anything
+    must not reach the decisions: comparisons with not-a-number hold for nobody."""
     report = {}
     for part in (text or b"").decode("latin-1").split(","):
         name, _, value = part.strip().partition("=")
         try:
-            report[name] = float(value)
+            figure = float(value)
         except ValueError:
             continue
+        if name in columns and math.isfinite(figure) and figure >= 0:
+            report[name] = figure
     return report or None
 
 
