Clients: ambiguous requests are turned away, and a request must be whole in time

Cause: frontend._parse took what h11 takes, nothing had a time limit, and Frontend._accept drove out the oldest connection whatever it was doing. Now each connection without an open request is in one phase with a limit (2.2 s until its request is whole, 10 s idle, 1 s to read a last answer), one timer serves all, and at the cap they make room in a stated order. Answers that are not read are bounded.

--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -23,7 +23,10 @@
 from lanelift.settings import Json, Malformed, maybe, need, read_settings, typed
 
 SOCKETS = 1024  # where no limit is told
-RESERVE = 64  # descriptors kept for the listener, discovery, peers and the interpreter
+# Descriptors kept for the listener, discovery (an old and a new one), peers, the configuration and the
+# interpreter, and for sockets that were closed on this turn of the loop and still count.
+RESERVE = 32
+CLIENTS_PART = 0.55  # of the others. Of a third of all, a client has a request open, with one attempt out
 LEAVE_S = 0.6  # over the longest deadline, after SIGTERM
 
 
@@ -121,15 +124,15 @@
 async def serve(config: Config, listener: socket.socket) -> None:
     loop = asyncio.get_running_loop()
     settings = config.settings
-    most = (config.sockets - RESERVE) // 2
-    upstreams = Upstreams(settings.limits, most, settings.report_columns)
+    clients = int((config.sockets - RESERVE) * CLIENTS_PART)
+    upstreams = Upstreams(settings.limits, config.sockets - RESERVE - clients, settings.report_columns)
     driver = Driver(settings, config.seed, upstreams)
     if config.peer_listen is not None and settings.limits.peers:
         _, driver.peers = await loop.create_datagram_endpoint(
             lambda: Peers(driver, config.peers, config.peers_all), local_addr=config.peer_listen)
     discovery = driver.discovery = Discovery(driver, config.discovery, config.seed)
     discovery.start(config.known)
-    frontend = Frontend(driver, listener, most)
+    frontend = Frontend(driver, listener, clients)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, frontend.drain)
     loop.add_signal_handler(signal.SIGHUP, Reloader(config, discovery).reload)
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -6,7 +6,9 @@
 import logging
 import socket
 import time
+from collections import Counter
 from collections.abc import Mapping
+from enum import Enum
 from http import HTTPStatus
 from typing import cast
 from urllib.parse import parse_qs
@@ -21,10 +23,15 @@
 
 BACKLOG = 256
 ANSWER_NS = 3_000_000  # kept of each deadline for the answer's way to the client
-LINGER_S = 1.0  # an answer to bad input is left this long to be read, before the connection closes
+CROWDED_PART = 0.75  # of the cap: above it, answers that are no upstream's end their connection
+MAX_HEAD = 16 * 1024  # bytes of target and headers; the parser only bounds heads that come in parts
+MAX_ID = 128  # bytes of a request's id: it is a key of tables and stands in the log
 DRAIN_S = 0.5  # after SIGTERM new connections are still dealt out for almost this long
 MS, US = 1_000_000, 1_000
 NOT_OURS = frozenset({b"x-deadline-ms"})
+# Of these one decides and the other might be believed further on: a request that repeats one is ambiguous.
+SINGLE = frozenset({b"host", b"content-length", b"transfer-encoding", b"idempotency-key", b"x-request-id",
+                    b"x-class", b"x-tenant", b"x-deadline-ms", b"x-retry", b"x-cost-hint"})
 
 
 class Unacceptable(Exception):
@@ -33,6 +40,23 @@
         self.status = status
 
 
+class Phase(Enum):
+    """What a connection without an open request is doing."""
+
+    NEW = "its request is not whole yet"
+    IDLE = "between two requests"
+    LEAVING = "its last answer is being read"
+
+
+# How long it may: a request must be whole this long after its client connected, or after its first byte on a
+# connection that was used before (whoever is silent or slow is owed an end within 3 s of connecting); a kept
+# connection is closed after so long, and clients open another; a last answer is left so long to be read.
+LIMIT_S = {Phase.NEW: 2.2, Phase.IDLE: 10.0, Phase.LEAVING: 1.0}
+# At the cap these make room, in this order, once they have been in their phase for so long. An idle one is
+# left the 2 s that clients count on, and a new one the time in which an honest client sends its request.
+ROOM = ((Phase.LEAVING, 0.1), (Phase.NEW, 1.0), (Phase.IDLE, 2.0), (Phase.NEW, 0.05))
+
+
 class Frontend:
     """The listening socket and its connections, kept under a cap."""
 
@@ -42,7 +66,9 @@
         self.listener = listener
         self.max_clients = max_clients
         self.clients: set[ClientConnection] = set()
-        self.waiting: dict[ClientConnection, None] = {}  # without an open request; the longest first
+        # Those without an open request, and since when: the longest first, so that one timer serves them all.
+        self.waiting: dict[Phase, dict[ClientConnection, float]] = {phase: {} for phase in Phase}
+        self.timer: asyncio.TimerHandle | None = None
         self.opening: set[asyncio.Task[None]] = set()  # kept, or they may be collected
         self.drained = asyncio.Event()  # SIGTERM has come
         self.closed = False
@@ -61,21 +87,19 @@
             self.listening = True
             self.loop.add_reader(self.listener, self._accept)
 
-    def _pause(self) -> None:
+    def _pause(self, seconds: float | None = None) -> None:
+        """Stop accepting: for so long, or until a connection comes to rest or ends."""
         if self.listening:
             self.listening = False
             self.loop.remove_reader(self.listener)
+            if seconds is not None:
+                self.loop.call_later(seconds, self._listen)
 
     def _accept(self) -> None:
-        """Take what waits. At the cap, idle connections make room; if none is idle, the kernel's backlog
+        """Take what waits. At the cap, connections without a request make room; if none can yet, the backlog
         holds the newcomers: one that was accepted is owed an answer, so none is taken to be dropped."""
         if len(self.clients) >= self.max_clients:
-            idle = next(iter(self.waiting), None)
-            if idle is not None:
-                idle.close()  # its place is free on the loop's next turn, which looks at the listener again
-            else:
-                log.warning("%d clients: no more are accepted for now", len(self.clients))
-                self._pause()
+            self._room()
             return
         # No further than to the cap: whether anybody waits beyond it is seen next turn.
         for _ in range(self.max_clients - len(self.clients)):
@@ -85,8 +109,7 @@
                 return
             except OSError as error:  # out of descriptors: a later connection's end makes room
                 log.error("accept: %s", error)
-                self._pause()
-                self.loop.call_later(0.05, self._listen)
+                self._pause(0.05)
                 return
             sock.setblocking(False)
             # It counts from here on, and once: counted again while its transport is made, it would drive out
@@ -97,6 +120,21 @@
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
 
+    def _room(self) -> None:
+        """At the cap: end one that has no request open. Its place is free on the loop's next turn, which
+        looks at the listener again. Where all are too fresh for that, wait until the first is not."""
+        now = self.loop.time()
+        heads = []
+        for phase, seconds in ROOM:
+            client = next(iter(self.waiting[phase]), None)
+            if client is not None:
+                due = self.waiting[phase][client] + seconds
+                if due <= now:
+                    client.abort()
+                    return
+                heads.append(due)
+        self._pause(min(heads) - now if heads else None)
+
     async def _open(self, client: ClientConnection, sock: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(lambda: client, sock)
@@ -105,14 +143,47 @@
             sock.close()
             self.lost(client)
 
-    def rest(self, client: ClientConnection) -> None:
-        """It is idle, and can make room for another: listen again, should that have stopped at the cap."""
-        self.waiting[client] = None
-        self._listen()
+    @property
+    def crowded(self) -> bool:
+        return len(self.clients) >= CROWDED_PART * self.max_clients
+
+    def wait(self, client: ClientConnection, phase: Phase) -> None:
+        """It has no request open from now on, and can make room: listen again, should that have stopped."""
+        self.busy(client)
+        client.phase = phase
+        self.waiting[phase][client] = self.loop.time()
+        self._sweep_at(self.loop.time() + LIMIT_S[phase])
+        if len(self.clients) >= self.max_clients:
+            self._listen()
+
+    def busy(self, client: ClientConnection) -> None:
+        if client.phase is not None:
+            del self.waiting[client.phase][client]
+            client.phase = None
+
+    def _sweep_at(self, when: float) -> None:
+        if self.timer is None or when < self.timer.when():
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer = self.loop.call_at(when, self._sweep)
+
+    def _sweep(self) -> None:
+        """End what has waited too long, and look again when the next one will have."""
+        self.timer = None
+        now = self.loop.time()
+        for phase, clients in self.waiting.items():
+            late = []
+            for client, since in clients.items():
+                if since + LIMIT_S[phase] > now:
+                    self._sweep_at(since + LIMIT_S[phase])
+                    break
+                late.append(client)
+            for client in late:
+                client.too_late()
 
     def lost(self, client: ClientConnection) -> None:
         self.clients.discard(client)
-        self.waiting.pop(client, None)
+        self.busy(client)
         self._listen()
         self.check_left()
 
@@ -132,15 +203,18 @@
         self.loop.call_later(0.02, self._close_idle)
 
     def _close_idle(self) -> None:
-        for client in list(self.waiting):
-            if not client.has_data:
-                client.close()
+        for phase in (Phase.NEW, Phase.IDLE):
+            for client in list(self.waiting[phase]):
+                if not client.has_data:
+                    client.abort()
         self.check_left()
 
     def close(self) -> None:
         self._pause()
         self.closed = True
         self.listener.close()
+        if self.timer is not None:
+            self.timer.cancel()
         for client in list(self.clients):
             client.abort()
 
@@ -161,7 +235,9 @@
         self.body = bytearray()
         self.open: OpenRequest | None = None
         self.read_ns = 0  # when what is being parsed was read
-        self.lingering = False
+        self.phase: Phase | None = None  # the table of the frontend that it stands in
+        self.lingering = False  # its last answer is given: what it sends is not read any more
+        self.blocked = False  # it does not read its answers
         self.is_head = False
 
     @property
@@ -171,19 +247,26 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.frontend.rest(self)
+        self.frontend.wait(self, Phase.NEW)
 
     def data_received(self, data: bytes) -> None:
         # Deadlines count from the client's send; this is the nearest moment that can be known.
         self.read_ns = time.monotonic_ns()
         if self.lingering:
             return
-        if self.open is not None and len(self.http.trailing_data[0]) > MAX_BODY:
+        if (self.open is not None or self.blocked) and len(self.http.trailing_data[0]) > MAX_BODY:
             self.abort()  # one request at a time: what floods in behind it would fill the memory
             return
         self.http.receive_data(data)
         self._parse()
 
+    def pause_writing(self) -> None:
+        self.blocked = True
+
+    def resume_writing(self) -> None:
+        self.blocked = False
+        self._parse()
+
     def eof_received(self) -> bool:
         self._gone()
         return False
@@ -197,29 +280,36 @@
         if request is not None:
             self.driver.client_gone(request)
 
-    def close(self) -> None:
-        self.frontend.waiting.pop(self, None)
-        if self.transport is not None:
-            self.transport.close()
+    def too_late(self) -> None:
+        """It has been in its phase for as long as it may."""
+        if self.phase is Phase.NEW and self.has_data:
+            self._reject(408, "the request did not come in time")
+        else:
+            self.abort()
 
     def abort(self) -> None:
+        self.frontend.busy(self)
         if self.transport is not None:
             self.transport.abort()
 
     # ---- in ----------------------------------------------------------------------------------------------
 
     def _parse(self) -> None:
+        """Read on, unless a request is open, or answers pile up that are not read."""
         try:
-            while self.open is None and not self.lingering:
+            while self.open is None and not self.lingering and not self.blocked:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     if self.http.they_are_waiting_for_100_continue:
                         self._write(self.http.send(h11.InformationalResponse(status_code=100, headers=[])))
+                    if self.phase is Phase.IDLE and self.has_data:
+                        self.frontend.wait(self, Phase.NEW)
                     return
                 if isinstance(event, h11.Request):
-                    self.head = event
                     self.is_head = event.method == b"HEAD"
                     self.body.clear()
+                    _check_head(event)
+                    self.head = event
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > MAX_BODY:
@@ -227,7 +317,7 @@
                 elif isinstance(event, h11.EndOfMessage):
                     self._whole()
                 elif isinstance(event, h11.ConnectionClosed):
-                    self.close()
+                    self.abort()
                     return
         except h11.RemoteProtocolError as error:
             self._reject(400, str(error))
@@ -243,18 +333,18 @@
             self._answer(200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
             return
         try:
-            arrival = self._arrival(dict(head.headers), path, query)
+            arrival = self._arrival(head.method, dict(head.headers), path, query)
         except Unacceptable as error:  # the message is whole, so the connection can go on
             self._answer(error.status, [], f"{error}\n".encode())
             return
         headers = [row for row in end_to_end(head.headers) if row[0] not in NOT_OURS]
         request = OpenRequest(arrival, head.method, head.target, headers, bytes(self.body), self)
         self.open = request
-        self.frontend.waiting.pop(self, None)
+        self.frontend.busy(self)
         if not self.driver.arrive(request):
             self.refused(0)
 
-    def _arrival(self, headers: Mapping[bytes, bytes], path: str, query: str) -> api.Arrival:
+    def _arrival(self, method: bytes, headers: Mapping[bytes, bytes], path: str, query: str) -> api.Arrival:
         settings = self.driver.settings
         first = path.strip("/").partition("/")[0]
         name = headers.get(b"x-class", first.encode("latin-1")).decode("latin-1")
@@ -262,9 +352,16 @@
             raise Unacceptable(404, "no such class")
         if b"host" not in headers:
             raise Unacceptable(400, "no Host")
+        safe = settings.classes[name].effect is api.Effect.SAFE
+        if method != (b"GET" if safe else b"POST"):
+            raise Unacceptable(405, f"{'GET' if safe else 'POST'} is the method of this class")
+        if safe and self.body:
+            raise Unacceptable(400, "a GET has no body")
         request = headers.get(b"x-request-id", b"").decode("latin-1")
         if not request:
             raise Unacceptable(400, "no X-Request-Id")
+        if len(request) > MAX_ID:
+            raise Unacceptable(400, "X-Request-Id is too long")
         if request in self.driver.requests:
             raise Unacceptable(409, "a request with this X-Request-Id is open")
         # Nobody waits longer than the class allows, whatever the header says: SIGTERM counts on it.
@@ -289,21 +386,18 @@
         self._answer(status, [], b"failed\n")
 
     def _reject(self, status: int, why: str) -> None:
-        """Answer bad input, and close once the client has had time to read the answer: closing with unread
-        bytes in hand would reset the connection and take the answer with it."""
+        """Answer bad input, and read no more of it."""
         self.head = None
-        self.lingering = True
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            self._answer(status, [(b"Connection", b"close")], f"{why}\n".encode())
-        if self.transport is not None and not self.transport.is_closing():
-            if self.transport.can_write_eof():
-                self.transport.write_eof()
-            self.frontend.loop.call_later(LINGER_S, self.close)
-
-    def _answer(self, status: int, headers: Headers, body: bytes) -> None:
-        self.open = None
+            self._answer(status, [], f"{why}\n".encode(), last=True)
+        else:
+            self._leave()
+
+    def _answer(self, status: int, headers: Headers, body: bytes, last: bool = False) -> None:
+        served, self.open = self.open is not None, None
         rows = [*headers, (b"Content-Length", b"%d" % len(body))]
-        if self.frontend.draining and not self.lingering:
+        # Whoever asks for nothing that is passed on need not keep its connection where places are few.
+        if last or self.frontend.draining or (not served and self.frontend.crowded):
             rows.append((b"Connection", b"close"))
         reason = HTTPStatus(status).phrase.encode()
         data = self.http.send(h11.Response(status_code=status, headers=rows, reason=reason)) or b""
@@ -311,21 +405,49 @@
             data += self.http.send(h11.Data(data=body)) or b""
         data += self.http.send(h11.EndOfMessage()) or b""
         self._write(data)
-        if self.lingering:
-            return
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
-            self.frontend.rest(self)
+            self.frontend.wait(self, Phase.IDLE)
             if self.http.trailing_data[0]:
                 self.frontend.loop.call_soon(self._parse)
         else:
-            self.close()
+            self._leave()
+
+    def _leave(self) -> None:
+        """End the connection once its answer has been read. Closing it with unread bytes in hand would reset
+        it and take the answer along: then only the sending ends, and what comes is not looked at."""
+        self.lingering = True
+        if self.transport is None or self.transport.is_closing():
+            return
+        self.frontend.wait(self, Phase.LEAVING)
+        if self.http.their_state in (h11.DONE, h11.MUST_CLOSE) and not self.http.trailing_data[0]:
+            self.transport.close()
+        elif self.transport.can_write_eof():
+            self.transport.write_eof()
 
     def _write(self, data: bytes | None) -> None:
         if data and self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
 
+def _check_head(head: h11.Request) -> None:
+    """What can be said no to before the body has come. A length beside a transfer coding may hide another
+    request in the body: whoever reads the one and whoever reads the other see different requests."""
+    counts = Counter(name for name, _ in head.headers)
+    if counts[b"content-length"] and counts[b"transfer-encoding"]:
+        raise Unacceptable(400, "both Content-Length and Transfer-Encoding")
+    twice = next((name for name in counts if counts[name] > 1 and name in SINGLE), None)
+    if twice is not None:
+        raise Unacceptable(400, f"{twice.decode()} stands there twice")
+    if head.method in (b"CONNECT", b"TRACE"):
+        raise Unacceptable(405, "no such method here")
+    if len(head.target) + sum(len(name) + len(value) for name, value in head.headers) > MAX_HEAD:
+        raise Unacceptable(431, "the head is too large")
+    length = next((value for name, value in head.headers if name == b"content-length"), b"0")
+    if int(length) > MAX_BODY:
+        raise Unacceptable(413, "the body is too large")
+
+
 def _whole_number(headers: Mapping[bytes, bytes], name: bytes, default: int) -> int:
     text = headers.get(name)
     if text is None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from dataclasses import replace
 
 import pytest
 
 from lanelift import interface as api
 from lanelift.__main__ import RESERVE
-from tests.fakes import SETTINGS, FakeUpstream, Heard, read_message, run, world
+from lanelift.net import frontend
+from lanelift.net.frontend import Phase
+from tests.fakes import SETTINGS, Client, FakeUpstream, Heard, answer, read_message, run, world
 
 
 def test_ready_once_the_module_can_serve() -> None:
@@ -109,7 +112,10 @@
     run(test())
 
 
-def test_at_the_cap_idle_clients_make_room_and_busy_ones_are_kept(heard: Heard) -> None:
+def test_at_the_cap_idle_clients_make_room_and_busy_ones_are_kept(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    monkeypatch.setattr(frontend, "ROOM", ((Phase.IDLE, 0.0),))
+
     async def test() -> None:
         async with world(sockets=RESERVE + 2 * 2) as w:  # two clients, two connections to upstreams
             go_on = asyncio.Event()
@@ -135,3 +141,122 @@
             assert (await read_message(late.reader)).status == 200
 
     run(test())
+
+
+def test_at_the_cap_silent_clients_make_room_for_one_that_asks() -> None:
+    async def test() -> None:
+        async with world(sockets=RESERVE + 2 * 2) as w:
+            silent = [await w.client() for _ in range(20)]
+            asking = await w.client()
+            assert (await asking.ask("r1")).status == 200
+            for client in silent:
+                client.close()
+
+    run(test())
+
+
+def test_at_the_cap_an_idle_client_is_left_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "ROOM", ((Phase.IDLE, 1000.0), (Phase.NEW, 0.0)))
+    monkeypatch.setitem(frontend.LIMIT_S, Phase.NEW, 0.1)  # the last newcomer is driven out by nobody
+
+    async def test() -> None:
+        async with world(sockets=RESERVE + 2 * 2) as w:
+            idle = await w.client()
+            assert (await idle.ask("r0")).status == 200
+            for number in range(1, 4):
+                newcomers = [await w.client() for _ in range(3)]
+                for client in newcomers:
+                    await client.ended()
+                assert (await idle.ask(f"r{number}")).status == 200
+
+    run(test())
+
+
+@pytest.mark.parametrize(("part", "status"), [
+    (b"", None), (b"GET /quote HTT", 408), (b"GET /quote HTTP/1.1\r\nHost: h\r\n", 408),
+    (b"POST /pay HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nhalf", 408)])
+@pytest.mark.parametrize("used", [False, True])
+def test_a_request_that_does_not_come_in_time_ends_its_connection(
+        monkeypatch: pytest.MonkeyPatch, part: bytes, status: int | None, used: bool) -> None:
+    monkeypatch.setitem(frontend.LIMIT_S, Phase.NEW, 0.2)
+    monkeypatch.setitem(frontend.LIMIT_S, Phase.IDLE, 0.3)
+
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            if used:
+                assert (await client.ask("r1")).status == 200
+            client.writer.write(part)
+            if status is not None:
+                assert (await read_message(client.reader)).status == status
+            await client.ended()
+
+    run(test())
+
+
+def raw_request(*headers: str, start: str = "POST /pay HTTP/1.1", body: bytes = b"") -> bytes:
+    rows = ["Host: h", "X-Request-Id: r1", "X-Class: pay", *headers]
+    return "\r\n".join([start, *rows, "", ""]).encode() + body
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    # What stands behind the chunk without length would be read as a request by whoever goes by the coding.
+    (raw_request("Content-Length: 60", "Transfer-Encoding: chunked",
+                 body=b"0\r\n\r\nGET /quote HTTP/1.1\r\nHost: h\r\nX-Request-Id: r2\r\n\r\n"), 400),
+    (raw_request("Content-Length: 4", "Content-Length: 5", body=b"body!"), 400),
+    (raw_request("Content-Length: 60000000"), 413),
+    (raw_request("Content-Length: -4", body=b"body"), 400),
+    (raw_request("X-Request-Id: r2"), 400),
+    (raw_request("X-Class: quote"), 400),
+    (raw_request("X-Deadline-Ms: 10", "X-Deadline-Ms: 3000"), 400),
+    (raw_request(start="CONNECT /pay HTTP/1.1"), 405),
+    (raw_request("X-Pad: " + "p" * 20_000), 431)])
+def test_a_request_that_could_be_read_in_two_ways_is_turned_away(data: bytes, status: int) -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            assert (await client.raw(data)).status == status
+            await client.ended()
+            assert (await w.ask("r3")).status == 200
+            assert [m.headers["x-request-id"] for m in w.upstreams[0].seen] == ["r3"]
+
+    run(test())
+
+
+def test_a_method_that_is_not_the_class_s_and_an_endless_id() -> None:
+    async def test() -> None:
+        async with world() as w:
+            client = await w.client()
+            assert (await client.ask("r1", "pay", "GET")).status == 405
+            assert (await client.ask("r1", "quote", "DELETE")).status == 405
+            assert (await client.ask("r1", "quote", "GET", b"body")).status == 400
+            assert (await client.ask("r" * 1000)).status == 400
+            assert (await client.ask("r1")).status == 200
+
+    run(test())
+
+
+def test_a_client_that_does_not_read_gets_no_more_answers_piled_up(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    monkeypatch.setitem(frontend.LIMIT_S, Phase.IDLE, 0.5)
+
+    async def test() -> None:
+        async with world() as w:
+            body = b"x" * 60_000
+            w.upstreams[0].script = [answer(200, body) for _ in range(1000)]
+            reader, writer = await asyncio.open_connection(*w.address, limit=1)
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            client = Client(reader, writer)
+            for number in range(1000):
+                client.send(f"r{number}")
+            # Answers stop going out, and with them the requests behind them; then the connection ends.
+            with suppress(ConnectionError):
+                while True:
+                    writer.write(b"\r\n")
+                    await asyncio.sleep(0.01)
+                    if writer.transport.is_closing():
+                        break
+            assert len(heard.of(api.Arrival)) < 900
+            assert (await w.ask("last")).status == 200
+
+    run(test())
