Decisions: one question for load at a time, the gone forgotten, what only fails left alone

Cause 1: each request asked three upstreams over connections of their own; in the first half second 160 were open and none to spare ('no connection to spare: 160 open'), which barred all and refused 42% of 5 s. Now one question is out at each, its answer serves all who wait, and sends since count on top. Cause 2 (counts of refusals by line): requests that waited for an answer about load counted as a jam, and others were refused for it (_admit); the first guess of what a request takes did not follow the aim, so half of the first hundred were refused as sure to be late (_serve) and R fell to 89 a second for 20 s. Cause 3: Fleet.servers kept what has gone; hints had no bound.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -31,11 +31,13 @@
 STEP = 0.5  # of the window for each outcome
 LOOKS = 3  # upstreams asked for their load before a send, where that is cheap
 LOOK_PRICE = 0.01  # most that the looks of a request may cost
-LOOK_NS = SECOND // 100  # an answer that takes longer is not waited for
+LOOK_NS, LOOK_PART = (SECOND // 333, SECOND // 100), 0.04  # of the aim: an answer that takes longer is late
 LINE_PART = 0.5  # of a request's time to spare may go by in the line
 OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
 BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
+EACH_PART = 0.08  # of the aim: what each request that an upstream holds is thought to take at first, at most
+FAULTY = (0.95, 3.0)  # part of errors above which an upstream is left alone, and times the fleet's
 EVIDENCE = 8  # outcomes before a figure is believed
 
 
@@ -263,6 +265,9 @@
     own: bool = False  # in this proxy's home
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
+    asked_ns: int = 0  # it was asked for its load then, and has not answered
+    unseen: int = 0  # sent to it since: its answer may not count them
+    errors: float = 0.0  # the part of its answers that were errors lately
 
 
 class Pool:
@@ -277,6 +282,7 @@
         self.last: Server | None = None  # the previous winner
         self.line: deque[Request] = deque()
         self.blocked_ns = 0  # the line found no upstream since
+        self.jammed = False  # nor has room for more: its head waits for that, not for an answer about load
 
     def arrange(self, ready: Sequence[Server], proxies: int) -> None:
         """Extension: each proxy's home is its stretch of one ring that all proxies compute alike, so that
@@ -336,6 +342,7 @@
         self.looks = (settings.limits.probes and "inflight" in settings.report_columns
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
+        self.errors = 0.0  # the part of all answers that were errors lately
         self.sharers = 1.0  # proxies that have an upstream in their home
         self.pools: dict[tuple[frozenset[str], frozenset[str]], Pool] = {}
         self.main = self.pool(api.RequestClass(""))
@@ -359,6 +366,8 @@
             if self.cold(s, now) and (entry.started_ns != was.started_ns or was is entry):
                 # Rule 4: the first requests of all proxies must not reach it together.
                 s.barred_ns = now + int(self.rng.random() * self.cold_gap_ns(s, now))
+        for s in list(self.servers.values()):
+            self.forget(s)
         ready = sorted((s for s in self.servers.values() if s.entry.state is api.State.READY),
                        key=lambda s: (mixed(s.id, 0), s.id))
         proxies = max(1, self.settings.replicas_of_me)
@@ -370,6 +379,19 @@
         own = max(1.0, START_WINDOW * len(ready) / proxies)
         self.crowding.begin(own / max(1, self.main.home))
 
+    def forget(self, s: Server) -> None:
+        """What has gone and holds no attempt of ours any more is of no use: in time ids are ever new."""
+        if s.entry.state is api.State.GONE and not s.inflight:
+            self.servers.pop(s.id, None)
+
+    def judge(self, s: Server, error: bool) -> bool:
+        """Note an answer. Is it one error too many? An upstream that only fails, and at once, seems the
+        lightest of all; one that fails in part still does its share of the work. Where all fail alike, for
+        a fault of the requests or on the way, none is left alone for it."""
+        self.errors += 0.02 * (error - self.errors)
+        s.errors += 0.05 * (error - s.errors)
+        return error and s.errors > max(FAULTY[0], FAULTY[1] * self.errors)
+
     def cold(self, s: Server, now: int) -> bool:
         return bool(s.entry.started_ns) and now - s.entry.started_ns < self.settings.rules.cold_ns
 
@@ -484,6 +506,8 @@
         self.guest = 1.0  # how much slower upstreams beyond the home answer
         self.out = self.stuck = 0  # own attempts in flight, and those of them that are overdue
         self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
+        self.look_ns = int(max(LOOK_NS[0], min(LOOK_NS[1], LOOK_PART * self.patience_ns)))
+        self.crowding.each = min(self.crowding.each, EACH_PART * self.patience_ns)
         self.failures = 0
         self.subscribed = settings.discovery_push
         if not self.subscribed:
@@ -527,7 +551,8 @@
         cls = self.settings.classes.get(e.class_name) or api.RequestClass(e.class_name, api.Effect.UNSAFE)
         aim = min(now + cls.aim_ns, e.deadline_ns)
         pool = self.fleet.pool(cls)
-        r = Request(e.request, cls, throttle, pool, e.deadline_ns, aim, e.cost_hint_ns, e.retry)
+        hint = min(e.cost_hint_ns, cls.deadline_ns)  # a wild guess must not keep its timers for years
+        r = Request(e.request, cls, throttle, pool, e.deadline_ns, aim, hint, e.retry)
         self.requests[r.id] = r
         need = self.crowding.expected(r) * (1 + self.crowding.spread)
         r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
@@ -576,7 +601,7 @@
         part = OVER_PART if r.tenant.over else LINE_PART  # over-share traffic is refused first
         # A class with much time must not make the line too long for those with little.
         spare = min(r.give_up_ns - now, self.patience_ns)
-        if r.pool.blocked_ns and len(r.pool.line) * SECOND > self.rate.served * spare * part:
+        if r.pool.jammed and len(r.pool.line) * SECOND > self.rate.served * spare * part:
             self.rate.unplaced += 1  # the line is too long already: better said at once
             self._refuse(r, now)
             return
@@ -587,22 +612,30 @@
         r.place = "line"
         if self.fleet.looks:
             # Own counts say little where proxies are many: the drawn upstreams are asked, the request waits.
-            r.asked, r.asked_ns = list(dict.fromkeys(r.pool.draw(LOOKS, now))), now
-            self.actions += [api.Probe(s.id) for s in r.asked]
-            self._later(now + LOOK_NS, "look", r)
+            # One question at a time is out at each: its answer serves all who wait for it. Where requests
+            # come faster than answers, each would need a connection. Who owes one for long is passed over.
+            drawn = dict.fromkeys(r.pool.draw(LOOKS, now))
+            r.asked, r.asked_ns = [s for s in drawn if not s.asked_ns or now < s.asked_ns + self.look_ns], now
+            for s in r.asked:
+                if not s.asked_ns:
+                    s.asked_ns, s.unseen = now, 0
+                    self.actions.append(api.Probe(s.id))
+            self._later(now + self.look_ns, "look", r)
 
     def _probed(self, e: api.ProbeResult, now: int) -> None:
         server = self.fleet.servers.get(e.upstream)
-        if server is not None and e.report is not None:
-            server.load, server.load_ns = e.report.get("inflight", 0.0), now
+        if server is not None:
+            server.asked_ns = 0
+            if e.report is not None:
+                server.load, server.load_ns = e.report.get("inflight", 0.0) + server.unseen, now
 
     def _outcome(self, e: api.Outcome, now: int) -> None:
-        server = self.fleet.servers.get(e.upstream)
         r = self.requests.get(e.request)
-        if r is None or server is None or r.attempts[e.attempt].result is not None:
+        if r is None or r.attempts[e.attempt].result is not None:
             return
         a = r.attempts[e.attempt]
         a.result = e.result
+        server = a.server  # also of one that is listed no more: counts must come out even
         fleet = self.fleet
         self.out -= 1
         self.stuck -= a.overdue
@@ -613,6 +646,7 @@
                 self.guest += 0.2 * (min(5.0, e.took_ns / max(1.0, self.crowding.expected(r))) - self.guest)
             self.rate.good += now <= r.aim_ns
             self.rate.bad += now > r.aim_ns  # late is what a crowded fleet shows first
+            fleet.judge(server, False)
             if server.strikes:
                 server.strikes = server.barred_ns = 0
         elif e.result in (api.Result.FULL, api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET):
@@ -624,10 +658,14 @@
                 self.crowding.crowd(a, e.took_ns)
             fleet.bar(server, now, a.expected if busy else SECOND / 4)
             self._later(server.barred_ns, "pump", None)
-        else:
-            self.rate.good += e.result is api.Result.ERROR
+        elif e.result is api.Result.ERROR:
+            self.rate.good += 1
+            if fleet.judge(server, True):
+                fleet.bar(server, now, SECOND / 4)
+                self._later(server.barred_ns, "pump", None)
         server.inflight -= 1
         server.load = max(0.0, server.load - 1)
+        fleet.forget(server)
         if r.turn and e.result in (api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED):
             r.turn.rest_ns = now + self.settings.rules.turn_gap_ns
         if e.complete:
@@ -739,19 +777,23 @@
 
     def _serve(self, pool: Pool, now: int) -> None:
         fleet, limits = self.fleet, self.settings.limits
+        jammed = False
         while pool.line:
             r = pool.line[0]
+            if r.asked and now < r.asked_ns + self.look_ns and any(s.load_ns < r.asked_ns for s in r.asked):
+                break  # who waits for an answer to a question is not held up by a want of room
             pool.blocked_ns = pool.blocked_ns or now
             # What stands still must not fill the window while other answers are quick; but where they are
             # slow too, upstreams are crowded, and work whose answer is late still runs there.
             window = max(1.0, self.crowding.window * pool.able(now))
             freed = max(1.0, STUCK_PART * window) * (1 if self.crowding.crowded() else 2)
             if self.out - min(self.stuck, freed) >= window:
-                break
-            if r.asked and now < r.asked_ns + LOOK_NS and any(s.load_ns < r.asked_ns for s in r.asked):
+                jammed = True
                 break
             choices = self._choices(r) if r.attempts else None
             fresh = [s for s in r.asked if s.load_ns >= r.asked_ns and fleet.fit(s, now)]
+            failed = {a.server for a in r.attempts}  # it may fail there again: elsewhere, where that can be
+            fresh = [s for s in fresh if s not in failed] or fresh
             r.asked = []
             server = pool.pick(now, fresh or choices)
             left = (r.aim_ns - now) / self.crowding.each
@@ -768,13 +810,16 @@
                 else:
                     self._refuse(r, now)
             else:
+                jammed = True
                 break
+        pool.jammed = jammed
 
     def _send(self, r: Request, server: Server, now: int) -> None:
         self.out += 1
         server.inflight += 1
         server.load += server.load_ns > 0
-        expected = max(1.0, self.crowding.expected(r) * server.pace)
+        server.unseen += 1
+        expected = min(max(1.0, self.crowding.expected(r) * server.pace), r.cls.deadline_ns)
         r.attempts.append(Attempt(server, now, expected, max(server.load, server.inflight)))
         if self.fleet.cold(server, now):
             server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -236,7 +236,12 @@
         def ended(result: api.Result, report: Report) -> None:
             self.post(api.ProbeResult(upstream, result, time.monotonic_ns() - now, report))
 
-        if not self.upstreams.probe(upstream, ended):
+        try:
+            started = self.upstreams.probe(upstream, ended)
+        except Exception:  # it still has its one result: the module waits for it
+            self._blame("a probe could not start", [])
+            started = False
+        if not started:
             ended(api.Result.CONNECT_FAILED, None)
 
     def _end(self, request: OpenRequest) -> bool:
