Decisions: breaks that all upstreams share bar none; a calmer start; discovery's odd numbers

Now a break counts against an upstream only where breaks are rare, or at the third in a row. Cause 2 (counts by 0.1 s of a bad start): attempts that open a connection took 32 ms alone and passed for a crowd, 145 of 202 requests in 0.1 s were refused as sure to be late, and R fell to 252 and climbed a tenth each half second while nothing was crowded. Discovery: infinite or negative numbers and host names are skipped entries, calls are 20 ms apart at least. Tests for churn, caps of connections and all of these.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -22,6 +22,8 @@
 START_RATE = 10_000.0  # R starts above anything a proxy carries
 FEEDBACK_NS = SECOND // 2
 SLACK = 0.2  # R comes down only when answers take this much more of their aim than is crowded
+CLIMB = 1.1, 1.5  # of R in one interval: the second while nothing is crowded
+CALM, FEW = -0.15, 20  # stress is so far below crowded, and not one attempt in so many failed or was late
 LEAST, BEST_FADE = 0.2, 0.98  # of what was served in good times, R keeps; forgotten in a minute
 DEEPEST_CUT = 0.3  # of R in one feedback interval
 START_WINDOW = 8  # requests of all proxies together in flight at each upstream
@@ -37,7 +39,8 @@
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
 BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
 EACH_PART = 0.08  # of the aim: what each request that an upstream holds is thought to take at first, at most
-FAULTY = (0.95, 3.0)  # part of errors above which an upstream is left alone, and times the fleet's
+FAULTY = (0.95, 0.8)  # part of errors above which an upstream is left alone, unless that of all is the second
+BROKEN = (0.05, 3)  # part of all attempts whose breaks say nothing of an upstream, short of so many in a row
 EVIDENCE = 8  # outcomes before a figure is believed
 
 
@@ -56,6 +59,7 @@
     sent_ns: int
     expected: float
     load: float  # what the upstream was thought to hold then, this one included
+    opens: bool = False  # more were out there than ever: it had to open a connection
     result: api.Result | None = None
     overdue: bool = False
 
@@ -229,7 +233,10 @@
             cut = min(self.value, 1.2 * self.sent + 1) * (1 - min(DEEPEST_CUT, excess))
             self.value = max(LEAST * self.best, 0.9 * self.served, cut)
         elif total and any(t.short for t in self.throttles):
-            self.value = min(START_RATE, self.value * 1.1 + 0.5)
+            # Where nothing is crowded, what is short is R itself: it must not starve a fleet for seconds.
+            calm = excess < CALM - SLACK and FEW * self.bad <= self.good
+            climb = CLIMB[1] if calm else CLIMB[0]
+            self.value = min(START_RATE, self.value * climb + 0.5)
         for t in self.throttles:
             t.demand += 0.5 * (t.asked * SECOND / elapsed - t.demand)
             t.asked, t.short = 0, False
@@ -266,8 +273,10 @@
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
     asked_ns: int = 0  # it was asked for its load then, and has not answered
+    most: int = 0  # own requests there at once, so far
     unseen: int = 0  # sent to it since: its answer may not count them
     errors: float = 0.0  # the part of its answers that were errors lately
+    breaks: int = 0  # of connections to it, in a row
 
 
 class Pool:
@@ -343,6 +352,7 @@
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
         self.errors = 0.0  # the part of all answers that were errors lately
+        self.breaks = 0.0  # the part of all attempts whose connections broke lately
         self.sharers = 1.0  # proxies that have an upstream in their home
         self.pools: dict[tuple[frozenset[str], frozenset[str]], Pool] = {}
         self.main = self.pool(api.RequestClass(""))
@@ -390,7 +400,14 @@
         a fault of the requests or on the way, none is left alone for it."""
         self.errors += 0.02 * (error - self.errors)
         s.errors += 0.05 * (error - s.errors)
-        return error and s.errors > max(FAULTY[0], FAULTY[1] * self.errors)
+        return error and s.errors > FAULTY[0] and self.errors < FAULTY[1]
+
+    def broken(self, s: Server) -> bool:
+        """A connection broke. Has its upstream failed? Where connections break all the time, the way there or
+        what stands on it is at fault: with half the upstreams left alone for it, the others are crowded."""
+        self.breaks += 0.02 * (1.0 - self.breaks)
+        s.breaks += 1
+        return self.breaks < BROKEN[0] or s.breaks >= BROKEN[1]
 
     def cold(self, s: Server, now: int) -> bool:
         return bool(s.entry.started_ns) and now - s.entry.started_ns < self.settings.rules.cold_ns
@@ -399,7 +416,8 @@
         """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
         together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
         rules = self.settings.rules
-        part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
+        age = max(0, now - s.entry.started_ns)  # clocks differ: it may have started in the future
+        part = rules.cold_from + (1 - rules.cold_from) * age / rules.cold_ns
         bears = max(self.borne, SECOND / self.crowding.each / self.sharers)
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
@@ -460,6 +478,8 @@
         server.pace += 0.2 * (min(10.0, max(0.1, ratio)) - server.pace)
 
     def crowd(self, a: Attempt, took: int) -> None:
+        if a.opens:
+            return  # it tells what opening a connection takes, and would pass for a crowd at each start
         self.seen += 1  # the first ones count more: a proxy with little traffic can't wait for twenty
         self.each += max(0.05, 1 / self.seen) * (max(1, took) / a.load - self.each)
 
@@ -647,6 +667,8 @@
             self.rate.good += now <= r.aim_ns
             self.rate.bad += now > r.aim_ns  # late is what a crowded fleet shows first
             fleet.judge(server, False)
+            fleet.breaks -= 0.02 * fleet.breaks
+            server.breaks = 0
             if server.strikes:
                 server.strikes = server.barred_ns = 0
         elif e.result in (api.Result.FULL, api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET):
@@ -656,8 +678,9 @@
             busy = e.result in (api.Result.FULL, api.Result.TIMEOUT)
             if e.result is api.Result.TIMEOUT:
                 self.crowding.crowd(a, e.took_ns)
-            fleet.bar(server, now, a.expected if busy else SECOND / 4)
-            self._later(server.barred_ns, "pump", None)
+            if e.result is not api.Result.RESET or fleet.broken(server):
+                fleet.bar(server, now, a.expected if busy else SECOND / 4)
+                self._later(server.barred_ns, "pump", None)
         elif e.result is api.Result.ERROR:
             self.rate.good += 1
             if fleet.judge(server, True):
@@ -820,7 +843,9 @@
         server.load += server.load_ns > 0
         server.unseen += 1
         expected = min(max(1.0, self.crowding.expected(r) * server.pace), r.cls.deadline_ns)
-        r.attempts.append(Attempt(server, now, expected, max(server.load, server.inflight)))
+        opens = server.inflight > server.most
+        server.most = max(server.most, server.inflight)
+        r.attempts.append(Attempt(server, now, expected, max(server.load, server.inflight), opens))
         if self.fleet.cold(server, now):
             server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
             self._later(server.barred_ns, "pump", None)
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import hashlib
+import ipaddress
 import json
 import logging
+import math
 import random
 import time
 from typing import Any
@@ -24,10 +26,12 @@
 # What discovery has to tell counts as told 6 s later, or 2 s after a call's hold is over: a call that is
 # silent for so long is given up before that, and the whole list asked for.
 CALL_S, AFTER_HOLD_S = 2.5, 1.5
+PACE_S = 0.02  # between two calls at the least, whatever comes back: well within what a watch may pause
 BACKOFF_S = (0.05, 1.0)
 MAX_LIST = 4 * 1024 * 1024
 STATES = {"Ready": api.State.READY, "Terminating": api.State.DRAINING, "Gone": api.State.GONE}
 MS = 1_000_000
+LATEST_MS = 1 << 53
 # Taken once: an upstream's start must not seem to move between two lists.
 UNIX_TO_MONOTONIC_NS = time.monotonic_ns() - time.time_ns()
 
@@ -53,11 +57,18 @@
     state = word(row, "state", STATES, "Ready")
     # What has gone needs no address.
     host, port = split_address(need(row, "addr", str)) if state is not api.State.GONE else ("", 0)
-    started_ms = int(maybe(row, "started_ms", float, 0))
+    try:
+        ipaddress.ip_address(host or "::")  # no name: looking one up takes a thread, and may take long
+    except ValueError as error:
+        raise Malformed(f"addr: {error}") from None
+    started_ms, weight = maybe(row, "started_ms", float, 0), float(maybe(row, "weight", float, 1.0))
+    if not (math.isfinite(weight) and 0 <= started_ms <= LATEST_MS):
+        raise Malformed("weight or started_ms is out of range")
+    started_ms = int(started_ms)
     started_ns = started_ms * MS + UNIX_TO_MONOTONIC_NS if started_ms else 0
     return Endpoint(api.Upstream(
         number_of(need(row, "id", str)), state, maybe(row, "zone", str, ""), maybe(row, "cell", int, 0),
-        float(maybe(row, "weight", float, 1.0)), started_ns, maybe(row, "kind", str, "")), host, port)
+        weight, started_ns, maybe(row, "kind", str, "")), host, port)
 
 
 def read_list(raw: Any) -> tuple[int, bool, list[Endpoint]]:
@@ -130,6 +141,7 @@
                 await self._call(b"/v1/endpoints", CALL_S)
                 wait = BACKOFF_S[0]
                 while True:
+                    await asyncio.sleep(PACE_S)
                     await self._call(b"/v1/endpoints?from=%d&hold_ms=%d" % (self.version, HOLD_MS),
                                      HOLD_MS / 1000 + AFTER_HOLD_S)
             except Exception as error:
@@ -160,7 +172,7 @@
             raise Unanswered(f"answered {response.status}")
         try:
             raw = json.loads(response.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise Unanswered(f"not JSON: {error}") from None
         version, full, endpoints = read_list(raw)
         # A list that is older than what is known, or no newer and partial, tells nothing.
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
+from collections.abc import Callable
 
 import pytest
 from hypothesis import given
@@ -330,7 +332,8 @@
 def test_a_tenant_over_its_share_is_found_out() -> None:
     desk = Desk(settings(replicas_of_me=20), servers=1)
     for i in range(600):
-        desk.give(arrival(i, desk.now, tenant="birch" if i % 10 == 0 else "ash"))
+        desk.give(*(arrival(f"{i}-{j}", desk.now, tenant="birch" if i % 10 == j == 0 else "ash")
+                    for j in range(3)))
         desk.advance(5 * MS)
         for request, number in desk.out():
             if desk.now - desk.sends[request][number][1] >= 50 * MS:
@@ -604,3 +607,126 @@
     breach(rests, api.Send("r2", 1))  # 5: its key rests
     breach(fresh(arrival(1, START, WEST)), api.Send("r1", 2))  # 6: zone
     breach(fresh(arrival(1, START, BIG)), api.Send("r1", 2))  # 6: kind
+
+
+def looking(servers: int = 6) -> Desk:
+    """A desk where upstreams are asked for their load before each send."""
+    limits = api.Limits(max_attempts=3, probes=True, may_cancel=True, retry_after=True)
+    return Desk(settings(limits=limits, report_columns=("inflight",)), servers=servers)
+
+
+def test_one_question_for_load_is_out_at_each_upstream_and_serves_all_who_wait() -> None:
+    # Each request asked for itself: in half a second 160 connections were open, and none to spare.
+    desk = looking(3)
+    actions = desk.give(*(arrival(i, desk.now) for i in range(20)))
+    asked = [a.upstream for a in actions if isinstance(a, api.Probe)]
+    assert len(asked) == len(set(asked)) <= 3 and not desk.sends
+    desk.now += MS
+    desk.give(*(api.ProbeResult(u, api.Result.OK, MS, {"inflight": 0.0}) for u in asked))
+    assert len(desk.sends) > 1 and not desk.answer
+    # Who does not answer is not asked again meanwhile, nor waited for; once it has, it is.
+    desk = looking(1)
+    assert len(of(api.Probe, desk.give(arrival(1, desk.now)))) == 1
+    desk.advance(20 * MS)
+    assert "r1" in desk.sends
+    assert not of(api.Probe, desk.give(arrival(2, desk.now))) and "r2" in desk.sends
+    desk.give(api.ProbeResult(1, api.Result.TIMEOUT, 20 * MS))
+    assert len(of(api.Probe, desk.give(arrival(3, desk.now)))) == 1
+
+
+def test_what_is_sent_while_an_answer_about_load_is_out_counts_on_top_of_it() -> None:
+    desk = looking(1)
+    desk.give(arrival(1, desk.now))
+    desk.advance(20 * MS)  # not waited for any longer
+    desk.give(arrival(2, desk.now))
+    desk.give(api.ProbeResult(1, api.Result.OK, 20 * MS, {"inflight": 3.0}))
+    assert desk.balancer.fleet.servers[1].load == 5.0
+
+
+def test_waiting_for_an_answer_about_load_is_no_jam() -> None:
+    # Requests of tenants over their share were refused as soon as one other waited for an answer.
+    desk = looking()
+    desk.balancer.rate.served = 1.0
+    for t in desk.balancer.throttles.values():
+        t.over = True
+    desk.give(*(arrival(i, desk.now) for i in range(5)))
+    assert not desk.answer
+
+
+def test_what_has_gone_is_forgotten_once_nothing_is_out_there() -> None:
+    desk = Desk(servers=3)
+    desk.give(*(arrival(i, desk.now) for i in range(6)))
+    assert desk.out()
+    for first in range(10, 3000, 3):  # ever new ids, by whole lists and by changes
+        gone = [u._replace(state=api.State.GONE) for u in desk.list.values() if u.state is not api.State.GONE]
+        kind = (api.ListKind.FULL, api.ListKind.DELTA)[first % 2]
+        desk.give(api.ListUpdate(kind, upstreams(3, first) + (gone if kind is api.ListKind.DELTA else [])))
+    fleet = desk.balancer.fleet
+    assert {s.id for s in fleet.servers.values()} - {1, 2, 3} == {first, first + 1, first + 2}
+    for request, number in desk.out():
+        desk.finish(request, number=number)
+    assert set(fleet.servers) == {first, first + 1, first + 2}
+    assert desk.balancer.out == 0 and not desk.balancer.requests
+
+
+def test_a_wild_guess_of_the_work_keeps_nothing() -> None:
+    desk = Desk()
+    for i in range(50):
+        desk.give(arrival(i, desk.now)._replace(cost_hint_ns=10**21))
+        desk.finish(f"r{i}")
+    desk.advance(30 * SECOND, SECOND // 10)
+    assert len(desk.balancer.due) < 5 and not desk.balancer.requests
+
+
+def drive(desk: Desk, count: int, how: Callable[[int, int], api.Result], name: str = "") -> Counter[int]:
+    """So many rounds of eight requests; `how` tells by upstream and request how an attempt ends. Returns the
+    attempts at each upstream."""
+    seen: Counter[int] = Counter()
+    for i in range(count):
+        desk.give(*(arrival(f"{name}{i}-{j}", desk.now) for j in range(8)))
+        while desk.out():
+            desk.advance(2 * MS, MS)
+            for request, number in desk.out():
+                server = desk.sends[request][number][0].id
+                seen[server] += 1
+                desk.finish(request, how(server, sum(seen.values())), number)
+    return seen
+
+
+@pytest.mark.parametrize("faulty", [1, 6])
+def test_an_upstream_that_only_fails_is_left_alone_but_not_all_of_them(faulty: int) -> None:
+    # It answers at once and so seems the lightest of all.
+    desk = Desk(servers=6)
+    drive(desk, 300, lambda server, n: api.Result.ERROR if server <= faulty else api.Result.OK)
+    strikes = [s.id for s in desk.balancer.fleet.servers.values() if s.strikes]
+    assert strikes == ([1] if faulty == 1 else [])
+
+
+def test_breaks_that_all_upstreams_share_leave_none_alone() -> None:
+    # With one attempt in ten broken anywhere, half the upstreams stood barred and the others were crowded.
+    desk = Desk(servers=6)
+    drive(desk, 200, lambda server, n: api.Result.RESET if n % 8 == 0 else api.Result.OK)
+    assert not [s for s in desk.balancer.fleet.servers.values() if s.barred_ns > desk.now]
+    # But where all break at one upstream, it has failed.
+    drive(desk, 200, lambda server, n: api.Result.RESET if server == 1 else api.Result.OK, "more")
+    assert desk.balancer.fleet.servers[1].barred_ns > desk.now
+
+
+def test_the_rate_comes_back_soon_where_nothing_is_crowded() -> None:
+    # After a bad first half second R let through half of what came, for five seconds.
+    desk = Desk(servers=6)
+    desk.balancer.rate.value = 100.0
+    for i in range(1500):
+        desk.give(arrival(i, desk.now))
+        desk.advance(2 * MS, MS)
+        for request, number in desk.out():
+            desk.finish(request, number=number)
+    assert desk.balancer.rate.value > 400
+
+
+def test_a_start_in_the_future_does_not_break_the_pace_of_a_cold_upstream() -> None:
+    desk = Desk(servers=0)
+    desk.give(api.ListUpdate(api.ListKind.FULL, upstreams(1, started_ns=desk.now + 1000 * SECOND)))
+    desk.advance(10 * SECOND, SECOND // 10)
+    desk.give(arrival(1, desk.now))
+    assert "r1" in desk.sends
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -6,15 +6,20 @@
 import socket
 import time
 from dataclasses import replace
+from typing import Any
 
+import h11
 import pytest
 
+import lanelift.__main__ as main
 from lanelift import interface as api
 from lanelift.decide import Balancer
 from lanelift.net import driver
 from lanelift.net.discovery import number_of, read_endpoint, split_address
+from lanelift.net.driver import Driver
+from lanelift.net.upstream import Upstreams
 from lanelift.settings import Malformed
-from tests.fakes import SECOND, SETTINGS, Heard, run, world
+from tests.fakes import SECOND, SETTINGS, FakeUpstream, Heard, never, run, world
 
 
 def test_connections_are_kept_and_a_stale_one_is_not_used(heard: Heard) -> None:
@@ -105,7 +110,10 @@
     assert read_endpoint({**row, "started_ms": 0}).entry.started_ns == 0
     # Balancers must compute the same number, now and in any later version.
     assert number_of("s-5be2a07c") == first.entry.id == 9587356208999800076
-    for bad in ({**row, "addr": "nowhere"}, {**row, "state": "Odd"}, {"addr": "127.0.0.1:1"}, 7):
+    odd = [{**row, key: value} for key in ("started_ms", "weight") for value in (float("inf"), float("nan"))]
+    addresses = [{**row, "addr": text} for text in ("nowhere", "a.host:80", "127.0.0.1:99999")]
+    for bad in (*odd, *addresses, {**row, "started_ms": -1}, {**row, "state": "Odd"},
+                {"addr": "127.0.0.1:1"}, 7):
         with pytest.raises(Malformed):
             read_endpoint(bad)
     assert split_address("[::1]:80") == ("::1", 80)
@@ -151,3 +159,68 @@
                 assert await loop.sock_recv(everyone, 300) == b"all"
 
     run(test())
+
+
+def test_an_answer_of_discovery_that_nobody_foresaw_does_not_end_the_watch(
+        monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with world(2) as w:
+            await w.watching()
+
+            def fails(*args: object) -> None:
+                monkeypatch.undo()
+                raise ZeroDivisionError
+
+            monkeypatch.setattr(driver.Driver, "learn", fails)
+            gone, stays = w.upstreams
+            w.discovery.change(gone.row("Gone"))
+            await w.watching()  # it has come back, and begun with the whole list
+            assert (await w.ask("r1")).body == stays.name.encode()
+        assert "ZeroDivisionError" in caplog.text
+
+    run(test())
+
+
+def test_churn_leaves_nothing_behind(monkeypatch: pytest.MonkeyPatch) -> None:
+    built: list[Driver] = []
+
+    def build(*args: Any) -> Driver:
+        built.append(Driver(*args))
+        return built[-1]
+
+    monkeypatch.setattr(main, "Driver", build)
+
+    async def test() -> None:
+        async with world() as w:
+            upstream = w.upstreams[0]
+            for number in range(30):  # ever new ids at one address, each with its own connections
+                assert (await w.ask(f"r{number}", obj=number)).status == 200
+                before, upstream.name = upstream.row("Gone"), f"new-{number}"
+                await w.tell(before, upstream.row())
+            balancer, = built
+            await upstream.until(lambda: upstream.ended >= 30)
+            assert (await w.ask("last")).status == 200
+            assert len(balancer.upstreams.targets) == len(balancer.balancer.fleet.servers) == 1
+            assert balancer.upstreams.connections <= 2 and not balancer.upstreams.connecting
+            assert not balancer.requests and not balancer.open and not balancer.balancer.requests
+
+    run(test())
+
+
+def test_with_no_connection_to_spare_no_upstream_is_blamed() -> None:
+    async def test() -> None:
+        upstream = FakeUpstream("s-0")
+        upstream.script = [never]
+        await upstream.start()
+        upstreams = Upstreams(SETTINGS.limits, 1, ())
+        upstreams.learn([read_endpoint(upstream.row())], full=True)
+        ended: asyncio.Queue[api.Result] = asyncio.Queue()
+        request = h11.Request(method="GET", target="/quote", headers=[("Host", "h")])
+        for seconds in (0.3, 5.0):
+            upstreams.send(number_of("s-0"), request, b"", seconds,
+                           lambda result, *rest: ended.put_nowait(result))
+        assert [await ended.get(), await ended.get()] == [api.Result.MOOT, api.Result.TIMEOUT]
+        upstreams.close()
+        upstream.stop()
+
+    run(test())
