Clients: with the places nearly all taken, an answer ends its connection

Cause (trace of an incident, 2538 client connections, 245 of 384 descriptors): a flood of silent connections and of ones that ask once and stay; each honest answer left an idle connection that may not be closed for 2 s, so all places filled with those, accepting stopped, requests waited in the backlog (median 118 ms) and clients opened ever more. Ruled out: CPU (0.41 of 0.85 at most), upstreams (no failures). Now an answer above 0.9 of the cap says Connection: close, one that is no upstream's above 0.75.

--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -23,7 +23,9 @@
 
 BACKLOG = 256
 ANSWER_NS = 3_000_000  # kept of each deadline for the answer's way to the client
-CROWDED_PART = 0.75  # of the cap: above it, answers that are no upstream's end their connection
+# Parts of the cap above which an answer ends its connection: one that is no upstream's, and any. Idle ones
+# are left their 2 s, so that with many clients they would fill all places, and newcomers wait for seconds.
+CROWDED, FULL = 0.75, 0.9
 MAX_HEAD = 16 * 1024  # bytes of target and headers; the parser only bounds heads that come in parts
 MAX_ID = 128  # bytes of a request's id: it is a key of tables and stands in the log
 DRAIN_S = 0.5  # after SIGTERM new connections are still dealt out for almost this long
@@ -143,9 +145,8 @@
             sock.close()
             self.lost(client)
 
-    @property
-    def crowded(self) -> bool:
-        return len(self.clients) >= CROWDED_PART * self.max_clients
+    def crowded(self, part: float) -> bool:
+        return len(self.clients) >= part * self.max_clients
 
     def wait(self, client: ClientConnection, phase: Phase) -> None:
         """It has no request open from now on, and can make room: listen again, should that have stopped."""
@@ -396,8 +397,7 @@
     def _answer(self, status: int, headers: Headers, body: bytes, last: bool = False) -> None:
         served, self.open = self.open is not None, None
         rows = [*headers, (b"Content-Length", b"%d" % len(body))]
-        # Whoever asks for nothing that is passed on need not keep its connection where places are few.
-        if last or self.frontend.draining or (not served and self.frontend.crowded):
+        if last or self.frontend.draining or self.frontend.crowded(FULL if served else CROWDED):
             rows.append((b"Connection", b"close"))
         reason = HTTPStatus(status).phrase.encode()
         data = self.http.send(h11.Response(status_code=status, headers=rows, reason=reason)) or b""
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -163,11 +163,25 @@
         async with world(sockets=RESERVE + 2 * 2) as w:
             idle = await w.client()
             assert (await idle.ask("r0")).status == 200
-            for number in range(1, 4):
-                newcomers = [await w.client() for _ in range(3)]
-                for client in newcomers:
-                    await client.ended()
-                assert (await idle.ask(f"r{number}")).status == 200
+            newcomers = [await w.client() for _ in range(9)]
+            for client in newcomers:
+                await client.ended()
+            assert (await idle.ask("r1")).status == 200
+
+    run(test())
+
+
+def test_with_all_places_taken_an_answer_ends_its_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Idle connections are left their 2 s: with more clients than places, each newcomer waited for that.
+    monkeypatch.setattr(frontend, "ROOM", ((Phase.IDLE, 1000.0),))
+
+    async def test() -> None:
+        async with world(sockets=RESERVE + 2 * 2) as w:
+            clients = [await w.client() for _ in range(20)]
+            for number, client in enumerate(clients):
+                client.send(f"r{number}")
+            for client in clients:
+                assert (await read_message(client.reader)).status == 200
 
     run(test())
 
