--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -25,7 +25,7 @@
 ANSWER_NS = 3_000_000  # kept of each deadline for the answer's way to the client
 # Parts of the cap above which an answer ends its connection: one that is no upstream's, and any. Idle ones
 # are left their 2 s, so that with many clients they would fill all places, and newcomers wait for seconds.
-CROWDED, FULL = 0.75, 1.0
+CROWDED, FULL = 0.75, 0.9
 MAX_HEAD = 16 * 1024  # bytes of target and headers; the parser only bounds heads that come in parts
 MAX_ID = 128  # bytes of a request's id: it is a key of tables and stands in the log
 DRAIN_S = 0.5  # after SIGTERM new connections are still dealt out for almost this long
