--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -22,12 +22,15 @@
 START_RATE = 10_000.0  # R starts above anything a proxy carries
 FEEDBACK_NS = SECOND // 2
 SLACK = 0.2  # R comes down only when answers take this much more of their aim than is crowded
-CLIMB = 1.1, 1.5  # of R in one interval: the second while nothing is crowded
-CALM, FEW = -0.15, 20  # stress is so far below crowded, and not one attempt in so many failed or was late
+CLIMB = 1.1, 2.0  # of R in one interval: the second while nothing is crowded
+CALM, FEW = -0.1, 8  # stress is so far below crowded, and not one attempt in so many failed or was late
 LEAST, BEST_FADE = 0.2, 0.98  # of what was served in good times, R keeps; forgotten in a minute
 DEEPEST_CUT = 0.3  # of R in one feedback interval
 START_WINDOW = 8  # requests of all proxies together in flight at each upstream
 EASE, CROWD = (0.35, 0.8), 3.0  # part of its aim that an attempt may take; times what it takes in good times
+# So long it takes to feel a crowd, and to take it for good times. Where answers are many this must not go by
+# their number: a crowd would pass for normal within a second, and one slow answer for a crowd.
+FELT_NS, GROWN_USED_NS = SECOND // 4, 60 * SECOND
 STUCK_PART = 0.25  # of the window that overdue attempts may leave free, or one
 STRESS_MAX = 1.5  # worse than that counts no more
 STEP = 0.5  # of the window for each outcome
@@ -227,11 +230,14 @@
         self.served = self.good * SECOND / elapsed
         self.sent = (self.good + self.bad) * SECOND / elapsed
         self.best = max(self.served, self.best * BEST_FADE)
+        quick = excess < CALM
         # Judged by what lately ended, not by this interval: of eight outcomes one is late on any good day.
         excess += self.unplaced / max(1, total) - SLACK
         if excess > 0:
-            # After a shrink R stands far above what is served: come down to that first.
-            cut = min(self.value, 1.2 * self.sent + 1) * (1 - min(DEEPEST_CUT, excess))
+            # After a shrink R stands far above what is served: come down to that first. But where what is
+            # sent is answered quickly, little was sent as little was let through, as in the rush of a start.
+            top = self.value if quick else min(self.value, 1.2 * self.sent + 1)
+            cut = top * (1 - min(DEEPEST_CUT, excess))
             self.value = max(LEAST * self.best, 0.9 * self.served, cut)
         elif total and any(t.short for t in self.throttles):
             # Where nothing is crowded, what is short is R itself: it must not starve a fleet for seconds.
@@ -452,6 +458,7 @@
         self.start = self.window = 0.5  # own requests that may be in flight, for each upstream within reach
         self.stress = 0.0  # part of its aim that an answer took lately
         self.calm = EASE[0] / CROWD  # and takes in good times
+        self.gap, self.felt_ns = float(SECOND), 0  # time from one answer to the next, and the last one's
         self.ease = EASE[0]  # above this, upstreams are crowded
         self.seen = 0
         self.each = SECOND / 50  # time for each request that an upstream holds
@@ -493,11 +500,14 @@
     def crowded(self) -> bool:
         return self.stress > self.ease
 
-    def feel(self, stress: float, waiting: bool, width: int) -> None:
+    def feel(self, stress: float, waiting: bool, width: int, now: int) -> None:
         """An attempt took this part of its aim: widen the window while others wait, or narrow it."""
         stress = min(stress, STRESS_MAX)
-        self.stress += 0.1 * (stress - self.stress)
-        self.calm += (0.05 if self.stress < self.calm else 0.002) * (self.stress - self.calm)
+        self.gap += 0.05 * (min(SECOND, now - self.felt_ns) - self.gap)
+        self.felt_ns = now
+        rise = min(0.002, self.gap / GROWN_USED_NS)
+        self.stress += min(0.1, self.gap / FELT_NS) * (stress - self.stress)
+        self.calm += (0.05 if self.stress < self.calm else rise) * (self.stress - self.calm)
         self.ease = min(EASE[1], max(EASE[0], CROWD * self.calm))
         step = STEP * (self.ease - stress) / max(1, width)
         if waiting or step < 0 or self.window < self.start:
@@ -675,7 +685,7 @@
         self.stuck -= a.overdue
         if e.result is api.Result.OK:
             self.crowding.note(r, a, e.took_ns)
-            self.crowding.feel(e.took_ns / r.cls.aim_ns, bool(r.pool.blocked_ns), r.pool.width)
+            self.crowding.feel(e.took_ns / r.cls.aim_ns, bool(r.pool.blocked_ns), r.pool.width, now)
             if not server.own:
                 self.guest += 0.2 * (min(5.0, e.took_ns / max(1.0, self.crowding.expected(r))) - self.guest)
             late = a.sent_ns + e.took_ns > r.aim_ns
@@ -688,7 +698,7 @@
                 server.strikes = server.barred_ns = 0
         elif e.result in (api.Result.FULL, api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET):
             if e.result is api.Result.FULL or self.crowding.crowded():
-                self.crowding.feel(1.0, False, r.pool.width)
+                self.crowding.feel(1.0, False, r.pool.width, now)
             self.rate.bad += 1
             busy = e.result in (api.Result.FULL, api.Result.TIMEOUT)
             if e.result is api.Result.TIMEOUT:
--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -21,9 +21,10 @@
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = 10_000
+HOLD_MS = 4_000
 # What discovery has to tell counts as told 6 s later, or 2 s after a call's hold is over: a call that is
-# silent for so long is given up before that, and the whole list asked for.
+# silent for so long is given up before that, and the whole list asked for. A connection that died without a
+# word hides the hold's length of changes: it is no longer than those 6 s allow.
 CALL_S, AFTER_HOLD_S = 2.5, 1.5
 PACE_S = 0.02  # between two calls at the least, whatever comes back: well within what a watch may pause
 BACKOFF_S = (0.05, 1.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -741,6 +741,27 @@
     assert desk.balancer.rate.value > 400
 
 
+@pytest.mark.parametrize("answers", [4, 400])
+def test_a_crowd_is_still_one_after_seconds_however_many_answers_come(answers: int) -> None:
+    crowding = Desk().balancer.crowding
+    for second, stress in enumerate([0.15] * 10 + [0.7] * 5):
+        for i in range(answers):
+            crowding.feel(stress, False, 6, START + second * SECOND + i * SECOND // answers)
+    assert crowding.crowded() and crowding.ease < 0.55
+    assert abs(crowding.stress - 0.7) < 0.25
+
+
+@pytest.mark.parametrize(("stress", "kept"), [(0.1, True), (0.9, False)])
+def test_a_rush_that_was_turned_away_brings_the_rate_down_only_where_upstreams_are_slow(
+        stress: float, kept: bool) -> None:
+    # A start in which nearly all were refused left R at what little was sent, for seconds.
+    desk = Desk()
+    rate = desk.balancer.rate
+    rate.good, rate.unplaced = 30, 200
+    rate.adjust(desk.now + SECOND // 2, stress - 0.35)
+    assert (rate.value > 5000) is kept
+
+
 def test_a_start_in_the_future_does_not_break_the_pace_of_a_cold_upstream() -> None:
     desk = Desk(servers=0)
     desk.give(api.ListUpdate(api.ListKind.FULL, upstreams(1, started_ns=desk.now + 1000 * SECOND)))
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -13,7 +13,7 @@
 import lanelift.__main__ as main
 from lanelift import interface as api
 from lanelift.decide import Balancer
-from lanelift.net import driver
+from lanelift.net import discovery, driver
 from lanelift.net.discovery import number_of, read_endpoint, split_address
 from lanelift.net.driver import Driver
 from lanelift.net.parse import message
@@ -87,6 +87,23 @@
     run(test())
 
 
+def test_a_watch_that_fell_silent_is_given_up_before_its_changes_count_as_told(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    assert discovery.HOLD_MS / 1000 + discovery.AFTER_HOLD_S < 6
+    monkeypatch.setattr(discovery, "HOLD_MS", 100)
+    monkeypatch.setattr(discovery, "AFTER_HOLD_S", 0.1)
+
+    async def test() -> None:
+        async with world(2) as w:
+            await w.watching()
+            gone = w.discovery.rows.pop(0)
+            w.discovery.version += 1  # and nobody is told: the watch that is held hears nothing of it
+            await heard.until(lambda: any(len(e.upstreams) == 1 for e in heard.of(api.ListUpdate)))
+            assert (await w.ask("r1")).body != gone["id"].encode()
+
+    run(test())
+
+
 def test_where_discovery_is_asked_a_failed_call_is_told_and_the_module_asks_again(heard: Heard) -> None:
     async def test() -> None:
         settings = replace(SETTINGS, discovery_push=False, rules=api.Rules(ask_within_ns=SECOND // 2))
