Upstreams: what was out when one stood still is one strike, not one each

Eight attempts sent to one upstream within its crowd ended overdue one after another, each past the bar of the one before: seven strikes within 0.5 s, 3 s alone, and the crowd moved to the next. At fault: Fleet.bar, which only looks whether the bar still lasts. Now an attempt sent before the last strike adds none.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -276,6 +276,7 @@
     pace: float = 1.0  # its time for a request against the fleet's
     strikes: int = 0
     barred_ns: int = 0  # not to be tried before this
+    struck_ns: int = 0  # the last strike
     own: bool = False  # in this proxy's home
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
@@ -436,11 +437,16 @@
         limit = 1 if s.strikes or self.cold(s, now) else self.crowding.limit
         return s.inflight < limit or (self.looks and not s.strikes)
 
-    def bar(self, s: Server, now: int, base: float) -> None:
-        """Leave a failing upstream alone, longer each time, unless that would leave hardly any."""
-        if s.barred_ns > now:
-            return  # what was out there when it stood still fails together: one strike for it
+    def bar(self, s: Server, now: int, base: float, sent_ns: int) -> None:
+        """Leave a failing upstream alone, longer each time, unless that would leave hardly any.
+
+        What was out there when it stood still fails together, though not at once: one strike for all that was
+        sent before it. Else a crowd of eight is seven strikes, one that is idle by then is left alone for
+        seconds, and what it had crowds the next. A stall that lasts is seen by the next attempt."""
+        if s.barred_ns > now or sent_ns < s.struck_ns:
+            return
         s.strikes += 1
+        s.struck_ns = now
         reach = self.main.order[:self.main.width]
         if sum(o.barred_ns > now for o in reach) < 0.7 * len(reach):
             length = min(base * 2 ** min(s.strikes - 1, 5), BAR_MAX)
@@ -704,12 +710,12 @@
             if e.result is api.Result.TIMEOUT:
                 self.crowding.crowd(a, e.took_ns)
             if e.result is not api.Result.RESET or fleet.broken(server):
-                fleet.bar(server, now, a.expected if busy else SECOND / 4)
+                fleet.bar(server, now, a.expected if busy else SECOND / 4, a.sent_ns)
                 self._later(server.barred_ns, "pump", None)
         elif e.result is api.Result.ERROR:
             self.rate.good += 1
             if fleet.judge(server, True):
-                fleet.bar(server, now, SECOND / 4)
+                fleet.bar(server, now, SECOND / 4, a.sent_ns)
                 self._later(server.barred_ns, "pump", None)
         server.inflight -= 1
         server.load = max(0.0, server.load - 1)
@@ -808,7 +814,7 @@
             return
         a.overdue = True
         self.stuck += 1
-        self.fleet.bar(a.server, now, a.expected)
+        self.fleet.bar(a.server, now, a.expected, a.sent_ns)
         self._later(a.server.barred_ns, "pump", None)
         if r.pool.line or now + a.expected > r.aim_ns:
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -741,6 +741,18 @@
     assert desk.balancer.rate.value > 400
 
 
+def test_what_was_out_when_an_upstream_stood_still_is_one_strike_and_the_next_attempt_another() -> None:
+    desk = Desk(servers=1)
+    fleet = desk.balancer.fleet
+    server, = fleet.servers.values()
+    sent = desk.now
+    for late_ms in (100, 300, 500):  # each after the time for which the one before it had it left alone
+        fleet.bar(server, sent + late_ms * MS, 10 * MS, sent)
+    assert server.strikes == 1
+    fleet.bar(server, sent + 900 * MS, 10 * MS, sent + 600 * MS)
+    assert server.strikes == 2
+
+
 @pytest.mark.parametrize("answers", [4, 400])
 def test_a_crowd_is_still_one_after_seconds_however_many_answers_come(answers: int) -> None:
     crowding = Desk().balancer.crowding
