Tidying: bar takes the attempt, the unread wait is asked once an answer

`Fleet.bar` was given an upstream and a time that both come from the attempt. How long an answer lay unread was asked of the kernel for each piece of it, and shortened also a time-out on a half-come answer; only a whole one has an end to count from. `_arrival` reckons from the time it was told.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -437,13 +437,14 @@
         limit = 1 if s.strikes or self.cold(s, now) else self.crowding.limit
         return s.inflight < limit or (self.looks and not s.strikes)
 
-    def bar(self, s: Server, now: int, base: float, sent_ns: int) -> None:
+    def bar(self, a: Attempt, now: int, base: float) -> None:
         """Leave a failing upstream alone, longer each time, unless that would leave hardly any.
 
         What was out there when it stood still fails together, though not at once: one strike for all that was
         sent before it. Else a crowd of eight is seven strikes, one that is idle by then is left alone for
         seconds, and what it had crowds the next. A stall that lasts is seen by the next attempt."""
-        if s.barred_ns > now or sent_ns < s.struck_ns:
+        s = a.server
+        if s.barred_ns > now or a.sent_ns < s.struck_ns:
             return
         s.strikes += 1
         s.struck_ns = now
@@ -591,14 +592,15 @@
     def _arrival(self, e: api.Arrival, now: int) -> None:
         throttle = self.throttles.get(e.tenant) or next(iter(self.throttles.values()))
         cls = self.settings.classes.get(e.class_name) or api.RequestClass(e.class_name, api.Effect.UNSAFE)
-        waited = now - (e.asked_ns or now)
-        aim = min(now - waited + cls.aim_ns, e.deadline_ns)
+        asked = e.asked_ns or now
+        aim = min(asked + cls.aim_ns, e.deadline_ns)
         pool = self.fleet.pool(cls)
         hint = min(e.cost_hint_ns, cls.deadline_ns)  # a wild guess must not keep its timers for years
         r = Request(e.request, cls, throttle, pool, e.deadline_ns, aim, hint, e.retry)
         self.requests[r.id] = r
         expected = self.crowding.expected(r)
-        if waited and expected < cls.aim_ns < waited + expected and not (cls.late_worth or cls.stream):
+        waited = now - asked
+        if expected < cls.aim_ns < waited + expected and not (cls.late_worth or cls.stream):
             # It waited unseen for so long, the proxy being late itself, that its answer would come too late.
             # Served in turn, all would: work on those makes the ones behind them late as well. This covers
             # any stretch in which the proxy had no time. It hurts where `expected` is far too high.
@@ -710,12 +712,12 @@
             if e.result is api.Result.TIMEOUT:
                 self.crowding.crowd(a, e.took_ns)
             if e.result is not api.Result.RESET or fleet.broken(server):
-                fleet.bar(server, now, a.expected if busy else SECOND / 4, a.sent_ns)
+                fleet.bar(a, now, a.expected if busy else SECOND / 4)
                 self._later(server.barred_ns, "pump", None)
         elif e.result is api.Result.ERROR:
             self.rate.good += 1
             if fleet.judge(server, True):
-                fleet.bar(server, now, SECOND / 4, a.sent_ns)
+                fleet.bar(a, now, SECOND / 4)
                 self._later(server.barred_ns, "pump", None)
         server.inflight -= 1
         server.load = max(0.0, server.load - 1)
@@ -814,7 +816,7 @@
             return
         a.overdue = True
         self.stuck += 1
-        self.fleet.bar(a.server, now, a.expected, a.sent_ns)
+        self.fleet.bar(a, now, a.expected)
         self._later(a.server.barred_ns, "pump", None)
         if r.pool.line or now + a.expected > r.aim_ns:
             return
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -40,7 +40,7 @@
         self.written = False  # its last byte has left
         self.connection: Connection | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.unread_ns = 0  # how long the answer lay here before it was read
+        self.unread_ns = 0  # how long the end of a whole answer lay here before it was read
 
     def expire_in(self, seconds: float) -> None:
         self.timer = asyncio.get_running_loop().call_later(seconds, self.expire)
@@ -106,8 +106,6 @@
         if exchange is None:
             self.abort()  # bytes that nobody asked for
             return
-        assert self.transport is not None
-        exchange.unread_ns = received(self.transport.get_extra_info("socket"))[1]
         reader = self.reader
         reader.feed(data)
         if reader.ready:
@@ -122,6 +120,8 @@
         self.abort()  # an answer that was under way is not whole: each has a length of its own
 
     def _complete(self, exchange: Exchange, response: Response) -> None:
+        assert self.transport is not None
+        exchange.unread_ns = received(self.transport.get_extra_info("socket"))[1]
         self.exchange = None
         # What stands behind an answer, a second copy or noise, would be read as the next request's.
         reader = self.reader
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from lanelift import interface as api
-from lanelift.decide import Balancer
+from lanelift.decide import Attempt, Balancer
 from tests.bench import (
     ANY,
     BIG,
@@ -747,9 +747,9 @@
     server, = fleet.servers.values()
     sent = desk.now
     for late_ms in (100, 300, 500):  # each after the time for which the one before it had it left alone
-        fleet.bar(server, sent + late_ms * MS, 10 * MS, sent)
+        fleet.bar(Attempt(server, sent, 1.0, 1.0), sent + late_ms * MS, 10 * MS)
     assert server.strikes == 1
-    fleet.bar(server, sent + 900 * MS, 10 * MS, sent + 600 * MS)
+    fleet.bar(Attempt(server, sent + 600 * MS, 1.0, 1.0), sent + 900 * MS, 10 * MS)
     assert server.strikes == 2
 
 
