Operators' address with figures and drains; upgrades on an inherited socket

Change: a pure lifecycle (serving, evacuated, leaving) that /ready, answers and the end of connections at rest go by; calls on an address of their own; figures counted in the driver; an inherited listener, from which connections are taken once the process can serve; the peers' address is shared. Ruled out: the crash was not the operators' address (it is new for each process).

--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -17,9 +17,11 @@
 from typing import Any, Protocol
 
 from lanelift import interface as api
+from lanelift.lifecycle import Lifecycle
 from lanelift.net.discovery import Discovery, read_list, split_address
 from lanelift.net.driver import Driver
 from lanelift.net.frontend import Frontend
+from lanelift.net.operator import Operator
 from lanelift.net.peers import Address, Peers
 from lanelift.net.upstream import Upstreams
 from lanelift.settings import Json, Malformed, maybe, need, read_settings, typed
@@ -50,6 +52,8 @@
     peers: list[Address]
     peers_all: Address | None
     tenants: Source | None = None  # directories that tell of tenants
+    operator: Address | None = None  # where operators call
+    inherited: int | None = None  # the descriptor of the clients' socket, where it is held elsewhere
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -81,8 +85,23 @@
     sockets = maybe(maybe(raw, "limits", dict, {}), "sockets", int, SOCKETS)
     if sockets < 2 * RESERVE:
         raise Malformed(f"limits.sockets must be {2 * RESERVE} at least")
+    inherited = environ.get("BALANCER_FD")
+    if inherited is not None and not inherited.isdecimal():
+        raise Malformed(f"BALANCER_FD is {inherited!r}, and must be the number of a descriptor")
     return Config(listen, discovery, seed, sockets, read_settings(need(raw, "settings", dict)), known,
-                  address("peer_listen"), peers, address("peers_all"))
+                  address("peer_listen"), peers, address("peers_all"), None, address("operator"),
+                  int(inherited) if inherited else None)
+
+
+def inherited_socket(descriptor: int) -> socket.socket:
+    """The clients' socket, which was bound before this process was started and outlives it."""
+    try:
+        sock = socket.socket(fileno=descriptor)
+        if sock.type != socket.SOCK_STREAM or sock.family not in (socket.AF_INET, socket.AF_INET6):
+            raise OSError("it is no TCP socket")
+    except OSError as error:
+        raise Malformed(f"BALANCER_FD {descriptor}: {error}") from None
+    return sock
 
 
 def listening_socket(address: Address) -> socket.socket:
@@ -141,16 +160,20 @@
                      f"discovery at {at[0]}:{at[1]}" if isinstance(at, tuple) else at)
 
 
-async def serve(config: Config, listener: socket.socket, read: Callable[[], Config]) -> None:
-    """Balance until SIGTERM has come and nothing is open. `read` gives the configuration anew, at SIGHUP."""
+async def serve(config: Config, listener: socket.socket, read: Callable[[], Config],
+                operators: socket.socket | None = None) -> None:
+    """Balance until SIGTERM has come and nothing is open. `read` gives the configuration anew, at SIGHUP.
+    Both sockets are bound: `listener` is for clients, `operators` for operators' calls."""
     loop = asyncio.get_running_loop()
     settings = config.settings
     clients = int((config.sockets - RESERVE) * CLIENTS_PART)
     upstreams = Upstreams(settings.limits, config.sockets - RESERVE - clients, settings.report_columns)
     driver = Driver(settings, config.seed, upstreams)
     if config.peer_listen is not None and settings.limits.peers:
+        # Shared: in an upgrade the next process binds it while this one still runs.
         _, driver.peers = await loop.create_datagram_endpoint(
-            lambda: Peers(driver, config.peers, config.peers_all), local_addr=config.peer_listen)
+            lambda: Peers(driver, config.peers, config.peers_all), local_addr=config.peer_listen,
+            reuse_port=True)
     source = config.discovery
     discovery = driver.discovery = (Discovery(driver, source, config.seed) if isinstance(source, tuple)
                                     else source.attach(driver))
@@ -158,7 +181,10 @@
     tenants = config.tenants.attach(driver) if config.tenants is not None else None
     if tenants is not None:
         tenants.start()
-    frontend = Frontend(driver, listener, clients)
+    frontend = Frontend(driver, listener, clients, Lifecycle(shared=config.inherited is not None))
+    operator = Operator(driver, frontend) if operators is not None else None
+    if operator is not None and operators is not None:
+        await operator.listen(operators)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, frontend.drain)
     loop.add_signal_handler(signal.SIGHUP, Reloader(config, discovery, tenants, read).reload)
@@ -174,6 +200,8 @@
         logging.error("left with %d requests open", driver.open)
     finally:
         frontend.close()
+        if operator is not None:
+            operator.close()
         if tenants is not None:
             tenants.close()
         discovery.close()
@@ -187,11 +215,13 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         config = read()
-        listener = listening_socket(config.listen)
+        listener = (listening_socket(config.listen) if config.inherited is None
+                    else inherited_socket(config.inherited))
+        operators = listening_socket(config.operator) if config.operator is not None else None
     except (Malformed, OSError) as error:
         print(f"lanelift: {error}", file=sys.stderr)
         return 2
-    asyncio.run(serve(config, listener, read))
+    asyncio.run(serve(config, listener, read, operators))
     return 0
 
 
--- a/lanelift/config/operator.py
+++ b/lanelift/config/operator.py
@@ -64,6 +64,7 @@
     zone: str = ""
     balancers: Annotated[int, Field(ge=1, le=10_000)] = 1
     number: Annotated[int, Field(ge=0, lt=10_000)] = 0
+    operator: Address | None = None
 
 
 class RequestClass(Table):
@@ -375,6 +376,7 @@
             [],
             None,
             None if self.directory is None else self.directory.source(dict(settings.tenants)),
+            None if self.serve.operator is None else split_address(self.serve.operator),
         )
 
 
--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -47,6 +47,7 @@
 OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
 BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
+AWAY_NS = SECOND // 2  # shorter is a pause between two attempts: figures do not call it an absence
 EACH_PART = 0.08  # of the aim: what each request that an upstream holds is thought to take at first, at most
 FAULTY = (0.95, 0.8)  # part of errors above which an upstream is left alone, unless that of all is the second
 BROKEN = (0.05, 3)  # part of all attempts whose breaks say nothing of an upstream, short of so many in a row
@@ -639,6 +640,11 @@
             self.actions.append(api.SetTimer(max(1, self.timer_ns - now), str(self.timer)))
         return self.actions
 
+    def avoided(self, now: int) -> int:
+        """How many listed upstreams get nothing now: they drain, or failed and are left alone for a while."""
+        return sum(s.entry.state is api.State.DRAINING or s.barred_ns > max(now, s.struck_ns + AWAY_NS)
+                   for s in self.fleet.servers.values() if s.entry.state is not api.State.GONE)
+
     def _later(self, at: int, what: str, about: Request | Throttle | Turn | None, extra: int = 0) -> None:
         self.count += 1
         heapq.heappush(self.due, (at, self.count, what, about, extra))
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -15,6 +15,7 @@
 
 from lanelift import interface as api
 from lanelift.decide import Balancer
+from lanelift.net.figures import FAULTED, FULFILLED, THROTTLED, Figures
 from lanelift.net.http import Exchange
 from lanelift.net.parse import Headers, Response
 from lanelift.net.upstream import Endpoint, Report, Upstreams, attempt_request
@@ -75,6 +76,8 @@
         self.balancer = Balancer(settings, seed, time.monotonic_ns())
         self.requests: dict[str, OpenRequest] = {}
         self.open = 0  # requests that are owed an answer
+        self.figures = Figures(settings.classes)
+        self.learned: Callable[[], None] = lambda: None  # told when `ready` may have changed
         self.waiting: list[api.Event] = []
         self.tenant_name: Callable[[bytes], str] = _latin_1  # what an X-Tenant names
         self.tenants_awaited = False  # it is to wait for a directory before it serves
@@ -91,6 +94,18 @@
         known = self.balancer.known
         return self.settings.tenants if known is None else known
 
+    def telemetry(self) -> str:
+        """The figures, as text."""
+        now = time.monotonic_ns()
+        return self.figures.text({
+            "open_requests": self.open, "registry_entries": len(self.upstreams.targets),
+            "out_of_rotation": self.balancer.avoided(now)})
+
+    def tenants_awaited_no_more(self) -> None:
+        """Nothing is waited for any more: directories have told of tenants, or have taken too long."""
+        self.tenants_awaited = False
+        self.learned()
+
     # ---- events ------------------------------------------------------------------------------------------
 
     def post(self, event: api.Event) -> None:
@@ -101,6 +116,7 @@
     def arrive(self, request: OpenRequest) -> bool:
         """Take a client's request; False if it can't be taken, and the caller answers."""
         if self.open >= self.settings.limits.max_open:
+            self.figures.ended[request.arrival.class_name][THROTTLED] += 1
             return False
         self.requests[request.arrival.request] = request
         self.open += 1
@@ -117,6 +133,7 @@
         if kind is not api.ListKind.FAILED:
             self.upstreams.learn(endpoints, full=kind is not api.ListKind.DELTA)
         self.post(api.ListUpdate(kind, [e.entry for e in endpoints]))
+        self.learned()
 
     def _hand_over(self) -> None:
         events, self.waiting = self.waiting, []
@@ -141,14 +158,15 @@
         log.exception("%s; requests %s", what, " ".join(names) or "-")
         for name in names:
             request = self.requests.get(name)
-            if request is not None and self._answer(request, lambda client: client.failed(502)):
+            if request is not None and self._answer(request, FAULTED, lambda client: client.failed(502)):
                 self.post(api.ClientGone(name))
 
-    def _answer(self, request: OpenRequest, how: Callable[[Client], None]) -> bool:
+    def _answer(self, request: OpenRequest, ended: str, how: Callable[[Client], None]) -> bool:
         """End a request with its final answer; False, and no answer, if it was over already. An answer that
         can't be given must not take the events behind it along."""
         if not self._end(request):
             return False
+        self.figures.ended[request.arrival.class_name][ended] += 1
         try:
             how(request.client)
         except Exception:
@@ -163,7 +181,7 @@
 
     def _overdue(self, request: OpenRequest) -> None:
         """The module owes an answer and the client's time is over: the rule is kept here, and logged."""
-        if self._answer(request, lambda client: client.failed(504)):
+        if self._answer(request, FAULTED, lambda client: client.failed(504)):
             log.error("request %s was not answered by its deadline", request.arrival.request)
             self.post(api.ClientGone(request.arrival.request))
 
@@ -176,14 +194,15 @@
             case api.Refuse():
                 request = self.requests.get(action.request)
                 if request is not None and self._answer(
-                        request, lambda client: client.refused(action.retry_after_ns, action.limited)):
+                        request, THROTTLED,
+                        lambda client: client.refused(action.retry_after_ns, action.limited)):
                     self._forget(action.request)
             case api.Fail():
                 request = self.requests.get(action.request)
                 if request is not None:
                     status = 403 if action.denied else 504 if request.timed_out else 502
                     why = action.denied or "failed"
-                    if self._answer(request, lambda client: client.failed(status, why)):
+                    if self._answer(request, FAULTED, lambda client: client.failed(status, why)):
                         self._forget(action.request)
             case api.Cancel():
                 request = self.requests.get(action.request)
@@ -234,19 +253,22 @@
                 outgoing = attempt_request(request.method, request.target, request.headers, request.body,
                                            max(1, wait // 1_000_000))
                 request.attempts[number] = self.upstreams.send(
-                    action.upstream, outgoing, wait / 1e9, ended)
+                    action.upstream, outgoing, wait / 1e9, ended, self._relayed)
             except Exception:  # it still has its one outcome, below
                 self._blame("an attempt could not start", [action])
         if request.attempts[number] is None:
             ended(api.Result.MOOT)
 
+    def _relayed(self) -> None:
+        self.figures.relayed += 1
+
     def _ended(self, request: OpenRequest, number: int, upstream: int, result: api.Result, took_ns: int,
                response: Response | None, report: Report) -> None:
         request.attempts[number] = None
         request.sent -= 1
         request.timed_out = result is api.Result.TIMEOUT
         if result is api.Result.OK and response is not None:
-            self._answer(request, lambda client: client.served(response))
+            self._answer(request, FULFILLED, lambda client: client.served(response))
         name = request.arrival.request
         self.post(api.Outcome(name, number, upstream, result, took_ns, request.over, report))
 
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -8,15 +8,24 @@
 import time
 from collections.abc import Mapping
 from enum import Enum
-from http import HTTPStatus
 from typing import cast
 from urllib.parse import parse_qs
 
 from lanelift import interface as api
+from lanelift.lifecycle import NEWCOMERS_S, Lifecycle, Stage
 from lanelift.net.driver import Driver, OpenRequest
 from lanelift.net.http import end_to_end
-from lanelift.net.kernel import received
-from lanelift.net.parse import MAX_BODY, Headers, Request, RequestReader, Response, Unacceptable, message
+from lanelift.net.kernel import received, unread
+from lanelift.net.parse import (
+    MAX_BODY,
+    Headers,
+    Request,
+    RequestReader,
+    Response,
+    Unacceptable,
+    message,
+    status_line,
+)
 
 log = logging.getLogger(__name__)
 
@@ -27,7 +36,6 @@
 CROWDED, FULL = 0.75, 0.9
 SLICE = 16 * 1024  # bytes parsed at a time: what is sent ahead of answers waits unparsed, and small
 MAX_ID = 128  # bytes of a request's id: it is a key of tables and stands in the log
-DRAIN_S = 0.5  # after SIGTERM new connections are still dealt out for almost this long
 MS, US = 1_000_000, 1_000
 NOT_OURS = frozenset({b"x-deadline-ms"})
 
@@ -52,8 +60,11 @@
 class Frontend:
     """The listening socket and its connections, kept under a cap."""
 
-    def __init__(self, driver: Driver, listener: socket.socket, max_clients: int) -> None:
+    def __init__(self, driver: Driver, listener: socket.socket, max_clients: int,
+                 lifecycle: Lifecycle | None = None) -> None:
         self.driver = driver
+        self.lifecycle = lifecycle or Lifecycle()
+        self.emptying: asyncio.TimerHandle | None = None  # when connections at rest are ended
         self.loop = asyncio.get_running_loop()
         self.listener = listener
         self.max_clients = max_clients
@@ -68,14 +79,15 @@
         listener.setblocking(False)
         listener.listen(BACKLOG)
         self.listening = False
+        driver.learned = self._listen
         self._listen()
 
     @property
-    def draining(self) -> bool:
-        return self.drained.is_set()
+    def leaving(self) -> bool:
+        return self.lifecycle.stage is Stage.LEAVING
 
     def _listen(self) -> None:
-        if not self.listening and not self.closed:
+        if not self.listening and not self.closed and self.lifecycle.takes(self.driver.ready):
             self.listening = True
             self.loop.add_reader(self.listener, self._accept)
 
@@ -183,11 +195,28 @@
 
     # ---- the end -----------------------------------------------------------------------------------------
 
+    def evacuate(self) -> None:
+        """Empty the balancer, and run on: new connections come for a while, and old ones are used. All are
+        answered, then closed."""
+        if self.lifecycle.evacuate():
+            log.info("evacuating: %d connections, %d requests", len(self.clients), self.driver.open)
+            self.emptying = self.loop.call_later(NEWCOMERS_S, self._close_idle)
+
+    def rejoin(self) -> bool:
+        """End of `evacuate`; False where it leaves."""
+        if not self.lifecycle.rejoin():
+            return False
+        if self.emptying is not None:
+            self.emptying.cancel()
+            self.emptying = None
+        log.info("rejoined")
+        return True
+
     def drain(self) -> None:
-        """SIGTERM: new connections come for a while, and old ones are used. All are answered, then closed."""
-        if not self.draining:
+        """SIGTERM: as `evacuate`, and once it is empty it has `left`."""
+        if self.lifecycle.leave():
             self.drained.set()
-            self.loop.call_later(DRAIN_S, self._stop)
+            self.loop.call_later(NEWCOMERS_S, self._stop)
 
     def _stop(self) -> None:
         self._accept()  # what is in the backlog was taken: it is not reset by closing the listener
@@ -199,7 +228,7 @@
     def _close_idle(self) -> None:
         for phase in (Phase.NEW, Phase.IDLE):
             for client in list(self.waiting[phase]):
-                if not client.has_data:
+                if not client.has_data and not unread(client.transport):
                     client.abort()
         self.check_left()
 
@@ -319,7 +348,7 @@
         self.is_head, self.keep_alive = head.method == b"HEAD", head.keep_alive
         path, _, query = head.target.decode("latin-1").partition("?")
         if path == "/ready":
-            ready = self.driver.ready and not self.frontend.draining
+            ready = self.frontend.lifecycle.wanted(self.driver.ready)
             self._answer(200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
             return
         try:
@@ -382,12 +411,11 @@
     def _answer(self, status: int, headers: Headers, body: bytes, last: bool = False) -> None:
         served, self.open = self.open is not None, None
         rows = [*headers, (b"Content-Length", b"%d" % len(body))]
-        last = (last or not self.keep_alive or self.frontend.draining
+        last = (last or not self.keep_alive or self.frontend.lifecycle.last
                 or self.frontend.crowded(FULL if served else CROWDED))
         if last:
             rows.append((b"Connection", b"close"))
-        start = b"HTTP/1.1 %d %b" % (status, HTTPStatus(status).phrase.encode())
-        self._write(message(start, rows, b"" if self.is_head else body))
+        self._write(message(status_line(status), rows, b"" if self.is_head else body))
         if last:
             self._leave()
             return
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -30,11 +30,12 @@
 class Exchange:
     """A request and its end, told exactly once: OK with a whole response, or why there is none."""
 
-    __slots__ = ("request", "max_body", "done", "written", "connection", "timer", "unread_ns")
+    __slots__ = ("request", "max_body", "done", "written", "connection", "timer", "unread_ns", "left")
 
     def __init__(self, request: bytes, done: Callable[[Result, Response | None], None],
-                 max_body: int = MAX_BODY) -> None:
+                 max_body: int = MAX_BODY, left: Callable[[], None] | None = None) -> None:
         self.request = request
+        self.left = left  # told once, when its last byte has left
         self.max_body = max_body
         self.done: Callable[[Result, Response | None], None] | None = done
         self.written = False  # its last byte has left
@@ -56,6 +57,13 @@
         if connection is not None:
             connection.abort()
 
+    def whole(self) -> None:
+        """Its last byte has left."""
+        self.written = True
+        left, self.left = self.left, None
+        if left is not None:
+            left()
+
     def broken(self) -> None:
         self.finish(Result.RESET if self.written else Result.CONNECT_FAILED)
 
@@ -92,6 +100,8 @@
         self.reader.expect(exchange.max_body)
         exchange.written = True  # unless the transport says at once that it could not take all
         self.transport.write(exchange.request)
+        if exchange.written:
+            exchange.whole()
 
     def pause_writing(self) -> None:
         if self.exchange is not None:
@@ -99,7 +109,7 @@
 
     def resume_writing(self) -> None:
         if self.exchange is not None:
-            self.exchange.written = True
+            self.exchange.whole()
 
     def data_received(self, data: bytes) -> None:
         exchange = self.exchange
--- a/lanelift/net/kernel.py
+++ b/lanelift/net/kernel.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import array
+import asyncio
+import fcntl
 import socket
 import struct
 import sys
+import termios
 from typing import Protocol
 
 # Of Linux's `struct tcp_info`: the connection's state, and the milliseconds since data last came.
@@ -27,3 +31,15 @@
     except (OSError, struct.error):
         return False, 0
     return state == CLOSE_WAIT, ago_ms * 1_000_000
+
+
+def unread(transport: asyncio.BaseTransport | None) -> bool:
+    """Has its peer sent what the loop has not read yet? Closing on it would reset the connection."""
+    sock = transport.get_extra_info("socket") if transport is not None else None
+    count = array.array("i", [0])
+    try:
+        if sock is not None:
+            fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    except OSError:
+        return False  # it is closed already
+    return count[0] > 0
--- a/lanelift/net/parse.py
+++ b/lanelift/net/parse.py
@@ -9,6 +9,7 @@
 from collections import Counter, deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Generic, TypeVar
 
 import httptools
@@ -226,6 +227,10 @@
             self._fail(502, "1xx answers without end")
 
 
+def status_line(status: int) -> bytes:
+    return b"HTTP/1.1 %d %b" % (status, HTTPStatus(status).phrase.encode())
+
+
 def message(start: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes = b"") -> bytes:
     """A message as it is written. What stands in it has been read by a parser, or is this program's own."""
     rows = b"".join(b"%b: %b\r\n" % row for row in headers)
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -93,9 +93,10 @@
 
     # ---- attempts and probes -----------------------------------------------------------------------------
 
-    def send(self, number: int, request: bytes, timeout_s: float,
-             done: Done) -> Exchange | None:
-        """Start one attempt; None if there is no such upstream. The outcome never comes within this call."""
+    def send(self, number: int, request: bytes, timeout_s: float, done: Done,
+             left: Callable[[], None] | None = None) -> Exchange | None:
+        """Start one attempt; None if there is no such upstream. The outcome never comes within this call.
+        `left` hears when its last byte was written."""
         target = self.targets.get(number)
         if target is None:
             return None
@@ -104,7 +105,7 @@
             report = self._report(response.header(b"x-load")) if response is not None else None
             done(outcome(result, response), response, report)
 
-        exchange = Exchange(request, ended)
+        exchange = Exchange(request, ended, left=left)
         self._start(target, exchange)
         exchange.expire_in(timeout_s)  # last: what could not start must not come to a second end
         return exchange
--- a/lanelift/tenants/feed.py
+++ b/lanelift/tenants/feed.py
@@ -82,7 +82,7 @@
 
     def _waited(self) -> None:
         if self.driver.tenants_awaited:
-            self.driver.tenants_awaited = False
+            self.driver.tenants_awaited_no_more()
             log.warning(
                 "no directory was read within %g s: tenants are those of the settings", self.source.wait_s
             )
@@ -139,7 +139,7 @@
         elif "complete" in message:
             self.readings += 1
             self.complete = True
-            self.driver.tenants_awaited = False
+            self.driver.tenants_awaited_no_more()
             log.info("tenants read from a directory: %d", message["complete"])
             self.driver.post(api.TenantsUpdate(strangers=self.source.strangers))
             if not self.frozen:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -294,7 +294,7 @@
 
 @asynccontextmanager
 async def world(count: int = 1, settings: api.Settings = SETTINGS, sockets: int = 1024,
-                **config: Any) -> AsyncIterator[World]:
+                operators: socket.socket | None = None, **config: Any) -> AsyncIterator[World]:
     upstreams = [FakeUpstream(f"s-{i}") for i in range(count)]
     for upstream in upstreams:
         await upstream.start()
@@ -305,7 +305,7 @@
     listener.listen()  # connections wait for the balancer
     w.address = listener.getsockname()
     plain = Config(w.address, discovery.where, 7, sockets, settings, discovery.whole(), None, [], None)
-    task = asyncio.create_task(serve(replace(plain, **config), listener, lambda: plain))
+    task = asyncio.create_task(serve(replace(plain, **config), listener, lambda: plain, operators))
     try:
         yield w
     finally:
--- a/tests/program/test_program.py
+++ b/tests/program/test_program.py
@@ -6,9 +6,10 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -55,10 +56,11 @@
 
 
 @asynccontextmanager
-async def started(*command: str | Path, **environ: str) -> AsyncIterator[asyncio.subprocess.Process]:
-    """A process that does not outlive the test."""
+async def started(*command: str | Path, fds: Sequence[int] = (),
+                  **environ: str) -> AsyncIterator[asyncio.subprocess.Process]:
+    """A process that does not outlive the test. It inherits the descriptors `fds`."""
     process = await asyncio.create_subprocess_exec(
-        *command, stderr=asyncio.subprocess.PIPE, env={**os.environ, **environ})
+        *command, stderr=asyncio.subprocess.PIPE, pass_fds=fds, env={**os.environ, **environ})
     try:
         yield process
     finally:
@@ -154,6 +156,101 @@
     run(test())
 
 
+@pytest.mark.parametrize("descriptor", ["seven", "-1", "99", "0", "datagrams"])
+def test_a_descriptor_that_is_no_listening_socket(tmp_path: Path, descriptor: str) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config()))
+    with socket.socket(type=socket.SOCK_DGRAM) as datagrams:
+        number = datagrams.fileno()
+        done = subprocess.run(
+            [sys.executable, "-m", "lanelift"], capture_output=True, text=True, timeout=60, check=False,
+            pass_fds=[number], stdin=subprocess.DEVNULL,
+            env={**os.environ, "BALANCER_CONFIG": str(path),
+                 "BALANCER_FD": str(number) if descriptor == "datagrams" else descriptor})
+    assert done.returncode == 2
+    assert done.stderr.startswith("lanelift: BALANCER_FD") and done.stderr.count("\n") == 1
+
+
+def test_an_upgrade_loses_no_request(tmp_path: Path) -> None:
+    """Two processes on one inherited socket. The second takes nothing until it can serve; the first is told
+    to go while clients ask on and on, on connections of both and on new ones."""
+    async def test() -> None:
+        upstream = FakeUpstream("s-0")
+        await upstream.start()
+        discovery = FakeDiscovery([upstream.row()])
+        await discovery.start()
+        with socket.socket() as shared:
+            shared.bind(("127.0.0.1", 0))
+            shared.listen(64)
+            fd = shared.fileno()
+            address = shared.getsockname()
+            asked = 0
+
+            async def ask_on(stop: asyncio.Event) -> None:
+                nonlocal asked
+                client: Client | None = None
+                while not stop.is_set():
+                    client = client or await Client.to(address)
+                    asked += 1
+                    got = await client.ask(f"r{asked}")
+                    assert (got.status, got.body) == (200, b"s-0")
+                    if got.headers.get("connection") == "close":
+                        client.close()
+                        client = None
+                if client is not None:
+                    client.close()
+
+            def told(path: Path, **more: Any) -> dict[str, str]:
+                raw = config(discovery=f"127.0.0.1:{discovery.port}", peer_listen=peers, **more)
+                raw["settings"] = {**SETTINGS, "limits": {"peers": True}}
+                raw["operator"] = f"127.0.0.1:{free_port()}"
+                path.write_text(json.dumps(raw))
+                return {"BALANCER_CONFIG": str(path), "BALANCER_FD": str(fd)}
+
+            peers = f"127.0.0.1:{free_port()}"  # the same for both
+            command = (sys.executable, "-m", "lanelift")
+            old_told = told(tmp_path / "old.json", known=discovery.whole())
+            async with started(*command, fds=[fd], **old_told) as old:
+                stop = asyncio.Event()
+                clients = [asyncio.create_task(ask_on(stop)) for _ in range(8)]
+                await upstream.until(lambda: len(upstream.seen) > 20)
+                discovery.silent = True  # the new one can't serve yet
+                async with started(*command, fds=[fd], **told(tmp_path / "new.json")) as new:
+                    operators = "127.0.0.1", int(json.loads(
+                        (tmp_path / "new.json").read_text())["operator"].rpartition(":")[2])
+                    assert await ready(operators) == 503
+                    for _ in range(20):  # all of them are the old one's: the new one would refuse
+                        fresh = await Client.to(address)
+                        assert (await fresh.ask("front", path="/ready")).status == 200
+                        fresh.close()
+                    discovery.silent = False
+                    discovery.close_links()
+                    while await ready(operators) != 200:
+                        await asyncio.sleep(0.02)
+                    old.send_signal(signal.SIGTERM)
+                    assert await old.wait() == 0
+                    count = len(upstream.seen)
+                    await upstream.until(lambda: len(upstream.seen) > count + 20)
+                    fresh = await Client.to(address)
+                    assert (await fresh.ask("front", path="/ready")).status == 200
+                    fresh.close()
+                    stop.set()
+                    await asyncio.gather(*clients)
+                    new.send_signal(signal.SIGTERM)
+                    assert await new.wait() == 0
+        upstream.stop()
+        discovery.stop()
+
+    run(test())
+
+
+async def ready(operators: tuple[str, int]) -> int:
+    client = await connect(operators)
+    got = await client.raw(b"GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n")
+    client.close()
+    return got.status
+
+
 def check_closing(message: Message, body: bytes) -> None:
     assert (message.status, message.body, message.headers["connection"]) == (200, body, "close")
 
