Answers longer than what is held are passed on as they come

Change: the reader tells when an answer is longer than what is held; exchange and driver pass it on piece by piece, held back while the client does not read; the module hears AnswerBegun, frees its place and takes the time until then; a broken one ends the client's connection by a reset. A last answer is no longer thrown away with its connection after 1 s while it is still being read. A head may take 2.5 s (clients may spend 2 s on one).

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -72,6 +72,7 @@
     load: float  # what the upstream was thought to hold then, this one included
     opens: bool = False  # more were out there than ever: it had to open a connection
     result: api.Result | None = None
+    begun: bool = False  # its answer is being passed on: its upstream has done its work
     overdue: bool = False
 
     @property
@@ -618,7 +619,7 @@
             elif type(e) is api.ProbeResult:
                 self._probed(e, now)
             elif type(e) is api.AnswerBegun and e.request in self.requests:
-                self.requests[e.request].begun = True
+                self._begun(self.requests[e.request], e, now)
             elif type(e) is api.TenantsUpdate:
                 self._tenants(e, now)
             elif type(e) is api.Wake and e.name == str(self.timer):
@@ -871,21 +872,16 @@
         a.result = e.result
         server = a.server  # also of one that is listed no more: counts must come out even
         fleet = self.fleet
-        self.out -= 1
-        self.stuck -= a.overdue
+        if r.turn and e.result in (api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED):
+            r.turn.rest_ns = now + self.settings.rules.turn_gap_ns
+        if a.begun:  # it was told then, and has its place no more
+            self.rate.bad += e.result not in (api.Result.OK, api.Result.CANCELLED)
+            if e.complete:
+                self._end(r, now)
+            self._forget(r, now)
+            return
         if e.result is api.Result.OK:
-            self.crowding.note(r, a, e.took_ns)
-            self.crowding.feel(e.took_ns / r.cls.aim_ns, bool(r.pool.blocked_ns), r.pool.width, now)
-            if not server.own:
-                self.guest += 0.2 * (min(5.0, e.took_ns / max(1.0, self.crowding.expected(r))) - self.guest)
-            late = a.sent_ns + e.took_ns > r.aim_ns
-            self.rate.good += not late
-            self.rate.bad += late  # what a crowded fleet shows first
-            fleet.judge(server, False)
-            fleet.breaks -= 0.02 * fleet.breaks
-            server.breaks = 0
-            if server.strikes:
-                server.strikes = server.barred_ns = 0
+            self._answered(r, a, e.took_ns, now)
         elif e.result in (api.Result.FULL, api.Result.TIMEOUT, api.Result.CONNECT_FAILED, api.Result.RESET):
             if e.result is api.Result.FULL or self.crowding.crowded():
                 self.crowding.feel(1.0, False, r.pool.width, now)
@@ -901,17 +897,50 @@
             if fleet.judge(server, True):
                 fleet.bar(a, now, SECOND / 4)
                 self._later(server.barred_ns, "pump", None)
-        server.inflight -= 1
-        server.load = max(0.0, server.load - 1)
-        fleet.forget(server)
-        if r.turn and e.result in (api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED):
-            r.turn.rest_ns = now + self.settings.rules.turn_gap_ns
+        self._frees(a)
         if e.complete:
             self._end(r, now)
         elif not r.over and not r.out and not r.begun:
             self._again(r, now)
         self._forget(r, now)
 
+    def _begun(self, r: Request, e: api.AnswerBegun, now: int) -> None:
+        """Its answer is passed on from here. How long that takes is its client's matter: the time that counts
+        is over, and the place in the window is free."""
+        a = r.attempts[e.attempt]
+        if a.result is not None or r.begun:
+            return
+        r.begun = a.begun = True
+        self._answered(r, a, e.took_ns, now)
+        self._frees(a)
+        if self.settings.limits.may_cancel:
+            self.actions += [api.Cancel(r.id, i) for i, o in enumerate(r.attempts)
+                             if o.result is None and not o.begun]
+
+    def _answered(self, r: Request, a: Attempt, took_ns: int, now: int) -> None:
+        """Learn from an answer that took so long."""
+        server, fleet = a.server, self.fleet
+        self.crowding.note(r, a, took_ns)
+        self.crowding.feel(took_ns / r.cls.aim_ns, bool(r.pool.blocked_ns), r.pool.width, now)
+        if not server.own:
+            self.guest += 0.2 * (min(5.0, took_ns / max(1.0, self.crowding.expected(r))) - self.guest)
+        late = a.sent_ns + took_ns > r.aim_ns
+        self.rate.good += not late
+        self.rate.bad += late  # what a crowded fleet shows first
+        fleet.judge(server, False)
+        fleet.breaks -= 0.02 * fleet.breaks
+        server.breaks = 0
+        if server.strikes:
+            server.strikes = server.barred_ns = 0
+
+    def _frees(self, a: Attempt) -> None:
+        """An attempt has its place in the window and at its upstream no more."""
+        self.out -= 1
+        self.stuck -= a.overdue
+        a.server.inflight -= 1
+        a.server.load = max(0.0, a.server.load - 1)
+        self.fleet.forget(a.server)
+
     def _forget(self, r: Request, now: int) -> None:
         if r.over and not r.out and r.id in self.requests:
             del self.requests[r.id]
@@ -996,7 +1025,7 @@
     def _overdue(self, r: Request, number: int, now: int) -> None:
         """An attempt is out longer than its upstream should take: it may stand still."""
         a = r.attempts[number]
-        if a.result is not None:
+        if a.result is not None or a.begun:
             return
         a.overdue = True
         self.stuck += 1
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -34,6 +34,17 @@
 
     def failed(self, status: int, why: str = "failed") -> None: ...
 
+    def began(self, head: Response, source: Exchange) -> None:
+        """An answer that is passed on as it comes: its head. `source` is held while there is no room."""
+
+    def passed(self, data: bytes) -> None: ...
+
+    def whole(self) -> None:
+        """All of it has come."""
+
+    def cut(self) -> None:
+        """The rest of it never will: the client must be able to tell."""
+
     def abort(self) -> None: ...
 
 
@@ -59,9 +70,36 @@
     sent: int = 0  # attempts without an outcome
     over: bool = False  # answered, or its client has gone
     timed_out: bool = False  # the last outcome was a time-out
+    passing: int | None = None  # the attempt whose answer is being passed on
     overdue: asyncio.TimerHandle | None = None
 
 
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One Send under way: the sockets tell it what becomes of it, and it tells the driver."""
+
+    driver: Driver
+    request: OpenRequest
+    number: int
+    upstream: int
+    sent_ns: int
+
+    def took_ns(self) -> int:
+        """What an answer lay unread here is this program's time, not its upstream's."""
+        exchange = self.request.attempts[self.number]
+        unread_ns = exchange.unread_ns if exchange is not None else 0
+        return max(0, time.monotonic_ns() - self.sent_ns - unread_ns)
+
+    def began(self, head: Response) -> None:
+        self.driver.answer_began(self, head)
+
+    def came(self, data: bytes) -> None:
+        self.request.client.passed(data)
+
+    def ended(self, result: api.Result, response: Response | None = None, report: Report = None) -> None:
+        self.driver.attempt_ended(self, result, response, report)
+
+
 def _latin_1(value: bytes) -> str:
     return value.decode("latin-1")
 
@@ -181,7 +219,7 @@
 
     def _overdue(self, request: OpenRequest) -> None:
         """The module owes an answer and the client's time is over: the rule is kept here, and logged."""
-        if self._answer(request, FAULTED, lambda client: client.failed(504)):
+        if request.passing is None and self._answer(request, FAULTED, lambda client: client.failed(504)):
             log.error("request %s was not answered by its deadline", request.arrival.request)
             self.post(api.ClientGone(request.arrival.request))
 
@@ -238,14 +276,9 @@
         legal = (not request.over and left > 0 and number < limits.max_attempts
                  and request.sent <= (2 if limits.second_copies else 1))
 
-        def ended(result: api.Result, response: Response | None = None, report: Report = None) -> None:
-            exchange = request.attempts[number]
-            # What an answer lay unread here is this program's time, not its upstream's.
-            took = time.monotonic_ns() - now - (exchange.unread_ns if exchange is not None else 0)
-            self._ended(request, number, action.upstream, result, max(0, took), response, report)
-
+        attempt = Attempt(self, request, number, action.upstream, now)
         if legal and action.timeout_ns < 0:
-            ended(api.Result.TIMEOUT)
+            attempt.ended(api.Result.TIMEOUT)
             return
         if legal:
             wait = min(action.timeout_ns or left, left)
@@ -253,24 +286,50 @@
                 outgoing = attempt_request(request.method, request.target, request.headers, request.body,
                                            max(1, wait // 1_000_000))
                 request.attempts[number] = self.upstreams.send(
-                    action.upstream, outgoing, wait / 1e9, ended, self._relayed)
+                    action.upstream, outgoing, wait / 1e9, attempt.ended, self._relayed, attempt)
             except Exception:  # it still has its one outcome, below
                 self._blame("an attempt could not start", [action])
         if request.attempts[number] is None:
-            ended(api.Result.MOOT)
+            attempt.ended(api.Result.MOOT)
 
     def _relayed(self) -> None:
         self.figures.relayed += 1
 
-    def _ended(self, request: OpenRequest, number: int, upstream: int, result: api.Result, took_ns: int,
-               response: Response | None, report: Report) -> None:
+    def answer_began(self, attempt: Attempt, head: Response) -> None:
+        """The answer is longer than what is held: it goes on as it comes, and its request's time does not run
+        any more."""
+        request = attempt.request
+        exchange = request.attempts[attempt.number]
+        assert exchange is not None
+        if request.over or request.passing is not None:
+            exchange.give_up(api.Result.CANCELLED)
+            return
+        request.passing = attempt.number
+        if request.overdue is not None:
+            request.overdue.cancel()
+        name = request.arrival.request
+        self.post(api.AnswerBegun(name, attempt.number, attempt.upstream, attempt.took_ns()))
+        try:
+            request.client.began(head, exchange)
+        except Exception:
+            log.exception("request %s: its answer failed", name)
+            request.client.abort()
+
+    def attempt_ended(self, attempt: Attempt, result: api.Result, response: Response | None,
+                      report: Report) -> None:
+        request, number, took_ns = attempt.request, attempt.number, attempt.took_ns()
         request.attempts[number] = None
         request.sent -= 1
         request.timed_out = result is api.Result.TIMEOUT
-        if result is api.Result.OK and response is not None:
+        if request.passing == number:
+            if result is api.Result.OK:
+                self._answer(request, FULFILLED, lambda client: client.whole())
+            else:
+                self._answer(request, FAULTED, lambda client: client.cut())
+        elif result is api.Result.OK and response is not None and request.passing is None:
             self._answer(request, FULFILLED, lambda client: client.served(response))
         name = request.arrival.request
-        self.post(api.Outcome(name, number, upstream, result, took_ns, request.over, report))
+        self.post(api.Outcome(name, number, attempt.upstream, result, took_ns, request.over, report))
 
     def _probe(self, upstream: int, now: int) -> None:
         def ended(result: api.Result, report: Report) -> None:
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -14,8 +14,8 @@
 from lanelift import interface as api
 from lanelift.lifecycle import NEWCOMERS_S, Lifecycle, Stage
 from lanelift.net.driver import Driver, OpenRequest
-from lanelift.net.http import end_to_end
-from lanelift.net.kernel import received, unread
+from lanelift.net.http import UNREAD_S, Exchange, end_to_end
+from lanelift.net.kernel import bound_buffers, received, reset, unread
 from lanelift.net.parse import (
     MAX_BODY,
     Headers,
@@ -45,13 +45,14 @@
 
     NEW = "its request is not whole yet"
     IDLE = "between two requests"
+    FLUSHING = "the rest of its answer is being read"
     LEAVING = "its last answer is being read"
 
 
 # How long it may: a request must be whole this long after its client connected, or after its first byte on a
 # connection that was used before (whoever is silent or slow is owed an end within 3 s of connecting); a kept
 # connection is closed after so long, and clients open another; a last answer is left so long to be read.
-LIMIT_S = {Phase.NEW: 2.2, Phase.IDLE: 10.0, Phase.LEAVING: 1.0}
+LIMIT_S = {Phase.NEW: 2.5, Phase.IDLE: 10.0, Phase.FLUSHING: UNREAD_S, Phase.LEAVING: 1.0}
 # At the cap these make room, in this order, once they have been in their phase for so long. An idle one is
 # left the 2 s that clients count on, and a new one the time in which an honest client sends its request.
 ROOM = ((Phase.LEAVING, 0.1), (Phase.NEW, 1.0), (Phase.IDLE, 2.0), (Phase.NEW, 0.05))
@@ -262,6 +263,9 @@
         self.blocked = False  # it does not read its answers
         self.keep_alive = True
         self.is_head = False
+        self.chunks = False  # it reads answers in chunks
+        self.source: Exchange | None = None  # of an answer that is passed on as it comes
+        self.last = False  # the answer that is being written is the last on this connection
 
     @property
     def has_data(self) -> bool:
@@ -291,10 +295,19 @@
 
     def pause_writing(self) -> None:
         self.blocked = True
+        if self.source is not None:
+            self.source.hold()
 
     def resume_writing(self) -> None:
         self.blocked = False
-        self._parse()
+        if self.source is not None:
+            self.source.go_on()
+        elif self.phase is Phase.FLUSHING:
+            if self.transport is not None:
+                self.transport.set_write_buffer_limits()
+            self._answered()
+        else:
+            self._parse()
 
     def eof_received(self) -> bool:
         self._gone()
@@ -307,6 +320,9 @@
 
     def _gone(self) -> None:
         request, self.open = self.open, None
+        source, self.source = self.source, None
+        if source is not None:
+            source.go_on()  # nobody is waited for: what still comes ends here
         if request is not None:
             self.driver.client_gone(request)
 
@@ -314,6 +330,8 @@
         """It has been in its phase for as long as it may."""
         if self.phase is Phase.NEW and self.has_data:
             self._reject(408, "the request did not come in time")
+        elif self.phase is Phase.FLUSHING:
+            self.cut()
         else:
             self.abort()
 
@@ -345,7 +363,7 @@
                 return
 
     def _whole(self, head: Request) -> None:
-        self.is_head, self.keep_alive = head.method == b"HEAD", head.keep_alive
+        self.is_head, self.keep_alive, self.chunks = head.method == b"HEAD", head.keep_alive, head.chunks
         path, _, query = head.target.decode("latin-1").partition("?")
         if path == "/ready":
             ready = self.frontend.lifecycle.wanted(self.driver.ready)
@@ -408,15 +426,64 @@
         """Answer bad input, and read no more of it."""
         self._answer(status, [], f"{why}\n".encode(), last=True)
 
+    def began(self, head: Response, source: Exchange) -> None:
+        assert self.transport is not None
+        self.source = source
+        length = head.header(b"content-length")
+        rows = end_to_end(head.headers)
+        if length is not None:
+            rows.append((b"Content-Length", length))
+            self.chunks = False
+        elif self.chunks:
+            rows.append((b"Transfer-Encoding", b"chunked"))
+        else:
+            self.keep_alive = False  # its end is the connection's
+        self._head(200, rows, False, True)
+        bound_buffers(self.transport)
+        if self.blocked:
+            source.hold()
+
+    def passed(self, data: bytes) -> None:
+        self._write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunks else data)
+
+    def whole(self) -> None:
+        self.open = self.source = None
+        if self.chunks:
+            self._write(b"0\r\n\r\n")
+        self._flush()
+
+    def cut(self) -> None:
+        self.open = self.source = None
+        if self.transport is not None:
+            reset(self.transport)
+
     def _answer(self, status: int, headers: Headers, body: bytes, last: bool = False) -> None:
+        if self.source is not None:
+            self.cut()  # another answer has begun: no second one can be given
+            return
         served, self.open = self.open is not None, None
         rows = [*headers, (b"Content-Length", b"%d" % len(body))]
-        last = (last or not self.keep_alive or self.frontend.lifecycle.last
-                or self.frontend.crowded(FULL if served else CROWDED))
-        if last:
-            rows.append((b"Connection", b"close"))
-        self._write(message(status_line(status), rows, b"" if self.is_head else body))
-        if last:
+        self._head(status, rows, last, served, b"" if self.is_head else body)
+        self._flush()
+
+    def _head(self, status: int, rows: Headers, last: bool, served: bool, body: bytes = b"") -> None:
+        """Write an answer's head, and say in it whether it is the last one here."""
+        self.last = (last or not self.keep_alive or self.frontend.lifecycle.last
+                     or self.frontend.crowded(FULL if served else CROWDED))
+        if self.last:
+            rows = [*rows, (b"Connection", b"close")]
+        self._write(message(status_line(status), rows, body))
+
+    def _flush(self) -> None:
+        """All of an answer is written. What its client has yet to read counts as its answer, not as rest."""
+        if self.blocked and self.transport is not None and not self.transport.is_closing():
+            self.transport.set_write_buffer_limits(high=0)  # told of again when nothing is left
+            self.frontend.wait(self, Phase.FLUSHING)
+        else:
+            self._answered()
+
+    def _answered(self) -> None:
+        if self.last:
             self._leave()
             return
         self.frontend.wait(self, Phase.IDLE)
--- a/lanelift/net/kernel.py
+++ b/lanelift/net/kernel.py
@@ -13,6 +13,7 @@
 
 # Of Linux's `struct tcp_info`: the connection's state, and the milliseconds since data last came.
 TCP_INFO = struct.Struct("B51xI")
+BUFFER = 128 * 1024  # of a connection with a long answer; the kernel doubles it for its own needs
 CLOSE_WAIT = 8  # of the states: the peer has ended its sending
 
 
@@ -43,3 +44,19 @@
     except OSError:
         return False  # it is closed already
     return count[0] > 0
+
+
+def bound_buffers(transport: asyncio.BaseTransport) -> None:
+    """Bound what the kernel holds of a connection in each direction: left to itself it lets that grow to some
+    megabytes, which many long answers would fill at once."""
+    sock = transport.get_extra_info("socket")
+    for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+        sock.setsockopt(socket.SOL_SOCKET, option, BUFFER)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """End a connection by a reset: to a peer that reads to its end, a plain close would look like the end."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from lanelift import interface as api
-from lanelift.net.http import Connection, Exchange
+from lanelift.net.http import Connection, Exchange, Passing
 from lanelift.net.parse import Headers, Response, message
 
 log = logging.getLogger(__name__)
@@ -94,9 +94,9 @@
     # ---- attempts and probes -----------------------------------------------------------------------------
 
     def send(self, number: int, request: bytes, timeout_s: float, done: Done,
-             left: Callable[[], None] | None = None) -> Exchange | None:
+             left: Callable[[], None] | None = None, passing: Passing | None = None) -> Exchange | None:
         """Start one attempt; None if there is no such upstream. The outcome never comes within this call.
-        `left` hears when its last byte was written."""
+        `left` hears when its last byte was written, `passing` takes an answer that is too long to be held."""
         target = self.targets.get(number)
         if target is None:
             return None
@@ -105,7 +105,7 @@
             report = self._report(response.header(b"x-load")) if response is not None else None
             done(outcome(result, response), response, report)
 
-        exchange = Exchange(request, ended, left=left)
+        exchange = Exchange(request, ended, left=left, passing=passing)
         self._start(target, exchange)
         exchange.expire_in(timeout_s)  # last: what could not start must not come to a second end
         return exchange
