Who finds all asked upstreams at work asks a few others before it waits

With three of four upstreams busy, four answers miss the idle ones in a third of cases. Ruled out: the window (out 7 of 30), large answers held for load (reports count them not: inflight is 0 or 1), slow writing of short answers (first to last byte: 0.2 ms in the median, 9 ms at p95).

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -102,6 +102,7 @@
     give_up_ns: int = 0  # waiting longer than this is of no use
     asked: list[Server] = field(default_factory=list)  # asked for their load on its behalf
     asked_ns: int = 0
+    busy: list[Server] = field(default_factory=list)  # those of a first look, where all had work
     denied: str = ""  # its tenant may not ask for this any more: no further attempt
 
     @property
@@ -850,6 +851,7 @@
             # One question at a time is out at each: its answer serves all who wait for it. Where requests
             # come faster than answers, each would need a connection. Who owes one for long is passed over.
             drawn = dict.fromkeys(r.pool.draw(LOOKS, now))
+            r.busy = []
             r.asked, r.asked_ns = [s for s in drawn if not s.asked_ns or now < s.asked_ns + self.look_ns], now
             for s in r.asked:
                 if not s.asked_ns:
@@ -857,6 +859,20 @@
                     self.actions.append(api.Probe(s.id))
             self._later(now + self.look_ns, "look", r)
 
+    def _look_on(self, r: Request, busy: list[Server], now: int) -> bool:
+        """All who were asked have work: before it waits behind that, a few others are asked, once."""
+        others = [s for s in r.pool.order[:r.pool.width] if s not in busy and self.fleet.fit(s, now)]
+        if not others:
+            return False
+        r.busy, r.asked_ns = busy, now
+        r.asked = self.rng.sample(others, min(LOOKS, len(others)))
+        for s in r.asked:
+            if not s.asked_ns:
+                s.asked_ns, s.unseen = now, 0
+                self.actions.append(api.Probe(s.id))
+        self._later(now + self.look_ns, "look", r)
+        return True
+
     def _probed(self, e: api.ProbeResult, now: int) -> None:
         server = self.fleet.servers.get(e.upstream)
         if server is not None:
@@ -1061,6 +1077,9 @@
                 break
             choices = self._choices(r) if r.attempts else None
             fresh = [s for s in r.asked if s.load_ns >= r.asked_ns and fleet.fit(s, now)]
+            if fresh and not r.busy and all(s.load >= 1 for s in fresh) and self._look_on(r, fresh, now):
+                break
+            fresh += [s for s in r.busy if fleet.fit(s, now)]
             failed = {a.server for a in r.attempts}  # it may fail there again: elsewhere, where that can be
             fresh = [s for s in fresh if s not in failed] or fresh
             r.asked = []
