Bodies longer than what is held go on as they come; their time runs from the last byte

Change: the reader passes long messages on in both directions; an Upload carries a body from client to upstream, held back where the upstream takes no more, and untouched until a connection takes it, so that a connection that never came up costs no attempt. The module hears of the last byte (BodyCame: the time starts, the attempt is looked at) and whether a body is spent (no second attempt).

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -97,6 +97,8 @@
     attempts: list[Attempt] = field(default_factory=list)
     over: bool = False
     begun: bool = False  # its stream has begun
+    coming: bool = False  # its body is still coming: its time does not run
+    spent: bool = False  # its body is gone: it can't be sent again
     place: str = ""  # waiting for its "turn", "held" by its throttle, in the "line", or ""
     turn_ns: int = 0  # its key rests until then
     give_up_ns: int = 0  # waiting longer than this is of no use
@@ -114,7 +116,7 @@
             return False
         if server.entry.state is not api.State.READY or self.out >= (2 if limits.second_copies else 1):
             return False
-        if not open_to(server.entry, self.cls) or not self.has_turn(now) or self.denied:
+        if not open_to(server.entry, self.cls) or not self.has_turn(now) or self.denied or self.spent:
             return False
         risky = [a for a in self.attempts if a.may_have_run]
         if not risky or self.cls.effect is api.Effect.SAFE:
@@ -621,6 +623,8 @@
                 self._probed(e, now)
             elif type(e) is api.AnswerBegun and e.request in self.requests:
                 self._begun(self.requests[e.request], e, now)
+            elif type(e) is api.BodyCame and e.request in self.requests:
+                self._came(self.requests[e.request], e, now)
             elif type(e) is api.TenantsUpdate:
                 self._tenants(e, now)
             elif type(e) is api.Wake and e.name == str(self.timer):
@@ -660,7 +664,8 @@
         aim = min(asked + cls.aim_ns, e.deadline_ns)
         pool = self.fleet.pool(cls)
         hint = min(e.cost_hint_ns, cls.deadline_ns)  # a wild guess must not keep its timers for years
-        r = Request(e.request, cls, e.tenant, throttle, pool, e.deadline_ns, aim, hint, e.retry)
+        r = Request(e.request, cls, e.tenant, throttle, pool, e.deadline_ns, aim, hint, e.retry,
+                    coming=e.coming)
         self.requests[r.id] = r
         expected = self.crowding.expected(r)
         waited = now - asked
@@ -670,9 +675,7 @@
             # any stretch in which the proxy had no time. It hurts where `expected` is far too high.
             self._refuse(r, now)
             return
-        need = expected * (1 + self.crowding.spread)
-        r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
-        self._later(r.give_up_ns, "give up", r)  # whatever comes, a request that waits is looked at then
+        self._bound(r, now)
         if cls.in_order and e.key:
             r.turn = self.turns.setdefault(e.key, Turn(e.key))
             r.turn.waiting.append(r)
@@ -683,6 +686,24 @@
             r.place = "turn"  # it holds no token meanwhile, and nobody waits behind it but its own key
             self._later(r.turn_ns, "turn", r.turn)
 
+    def _bound(self, r: Request, now: int) -> None:
+        """How long it may wait; whatever comes, a request that waits is looked at then."""
+        need = self.crowding.expected(r) * (1 + self.crowding.spread)
+        r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
+        self._later(r.give_up_ns, "give up", r)
+
+    def _came(self, r: Request, e: api.BodyCame, now: int) -> None:
+        """Its body is whole: what it takes counts from now."""
+        if not r.coming:
+            return
+        r.coming = False
+        r.deadline_ns, r.aim_ns = e.deadline_ns, min(now + r.cls.aim_ns, e.deadline_ns)
+        self._bound(r, now)
+        for i, a in enumerate(r.attempts):
+            if a.result is None and not a.begun:
+                a.sent_ns = now
+                self._watch(r, i, now)
+
     def _join(self, name: str, now: int) -> Throttle:
         """The throttle of a tenant that has none of its own yet."""
         if self.known is None or name not in self.known:
@@ -886,6 +907,7 @@
             return
         a = r.attempts[e.attempt]
         a.result = e.result
+        r.spent = r.spent or e.spent
         server = a.server  # also of one that is listed no more: counts must come out even
         fleet = self.fleet
         if r.turn and e.result in (api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED):
@@ -1115,10 +1137,16 @@
             server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
             self._later(server.barred_ns, "pump", None)
         # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
-        timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
+        # While its body is still coming it has none.
+        timeout = 0 if r.cls.late_worth or r.cls.stream or r.coming else max(1, r.aim_ns - now)
         self.actions.append(api.Send(r.id, server.id, timeout))
-        overdue = now + int(expected * (1.3 + 3 * self.crowding.spread))
-        self._later(overdue, "overdue", r, len(r.attempts) - 1)
+        if not r.coming:
+            self._watch(r, len(r.attempts) - 1, now)
+
+    def _watch(self, r: Request, number: int, now: int) -> None:
+        """Look again at an attempt when its upstream should have answered."""
+        overdue = now + int(r.attempts[number].expected * (1.3 + 3 * self.crowding.spread))
+        self._later(overdue, "overdue", r, number)
 
     def _feedback(self, now: int) -> None:
         self.checked_ns = now
--- a/lanelift/interface.py
+++ b/lanelift/interface.py
@@ -184,6 +184,7 @@
     key: str = ""
     retry: bool = False
     asked_ns: int = 0  # when its last byte came, where that was earlier; 0: now
+    coming: bool = False  # its body is still coming, and can be sent once: its time runs from `BodyCame` on
 
 
 class Outcome(NamedTuple):
@@ -196,6 +197,14 @@
     took_ns: int
     complete: bool = False  # the request is over
     report: Mapping[str, float] | None = None
+    spent: bool = False  # part of a body that is not held went with it: the request can't be sent again
+
+
+class BodyCame(NamedTuple):
+    """The last byte of a request whose body was `coming`; its time runs from here."""
+
+    request: str
+    deadline_ns: int
 
 
 class AnswerBegun(NamedTuple):
@@ -229,8 +238,8 @@
     name: str
 
 
-Event = (ListUpdate | TenantsUpdate | Arrival | Outcome | AnswerBegun | ClientGone | ProbeResult | PeerMessage
-         | Wake)
+Event = (ListUpdate | TenantsUpdate | Arrival | BodyCame | Outcome | AnswerBegun | ClientGone | ProbeResult
+         | PeerMessage | Wake)
 
 # ---- actions -------------------------------------------------------------------------------------------
 
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -16,7 +16,7 @@
 from lanelift import interface as api
 from lanelift.decide import Balancer
 from lanelift.net.figures import FAULTED, FULFILLED, THROTTLED, Figures
-from lanelift.net.http import Exchange
+from lanelift.net.http import Exchange, Upload
 from lanelift.net.parse import Headers, Response
 from lanelift.net.upstream import Endpoint, Report, Upstreams, attempt_request
 
@@ -66,6 +66,7 @@
     headers: Headers
     body: bytes
     client: Client
+    upload: Upload | None = None  # its body, where that is longer than what is held; `body` is empty then
     attempts: list[Exchange | None] = field(default_factory=list)  # None: over, or never sent
     sent: int = 0  # attempts without an outcome
     over: bool = False  # answered, or its client has gone
@@ -158,14 +159,38 @@
             return False
         self.requests[request.arrival.request] = request
         self.open += 1
-        left = (request.arrival.deadline_ns - time.monotonic_ns()) / 1e9
-        request.overdue = self.loop.call_later(max(0.0, left) + OVERDUE_S, self._soon_overdue, request)
+        if not request.arrival.coming:
+            self._due(request)
         self.post(request.arrival)
         return True
 
+    def _due(self, request: OpenRequest) -> float:
+        """Its time runs: how many seconds are left."""
+        left = (request.arrival.deadline_ns - time.monotonic_ns()) / 1e9
+        request.overdue = self.loop.call_later(max(0.0, left) + OVERDUE_S, self._soon_overdue, request)
+        return left
+
+    def body_came(self, request: OpenRequest, deadline_ns: int) -> None:
+        """The last byte of a body that goes on as it comes."""
+        if request.over or request.upload is None:
+            return
+        request.arrival = request.arrival._replace(deadline_ns=deadline_ns, coming=False)
+        left = self._due(request)
+        request.upload.end()
+        for exchange in request.attempts:
+            if exchange is not None and not exchange.begun:
+                if isinstance(exchange.passing, Attempt):
+                    exchange.passing.sent_ns = time.monotonic_ns()
+                exchange.expire_in(max(0.0, left))
+        self.post(api.BodyCame(request.arrival.request, deadline_ns))
+
     def client_gone(self, request: OpenRequest) -> None:
         if self._end(request):
             self.post(api.ClientGone(request.arrival.request))
+        if request.upload is not None and not request.upload.whole:
+            for exchange in request.attempts:  # the rest of its body will never come
+                if exchange is not None:
+                    exchange.give_up(api.Result.CANCELLED)
 
     def learn(self, kind: api.ListKind, endpoints: list[Endpoint]) -> None:
         if kind is not api.ListKind.FAILED:
@@ -284,9 +309,10 @@
             wait = min(action.timeout_ns or left, left)
             try:
                 outgoing = attempt_request(request.method, request.target, request.headers, request.body,
-                                           max(1, wait // 1_000_000))
+                                           max(1, wait // 1_000_000), request.upload)
+                wait_s = None if request.arrival.coming else wait / 1e9
                 request.attempts[number] = self.upstreams.send(
-                    action.upstream, outgoing, wait / 1e9, attempt.ended, self._relayed, attempt)
+                    action.upstream, outgoing, wait_s, attempt.ended, self._relayed, attempt, request.upload)
             except Exception:  # it still has its one outcome, below
                 self._blame("an attempt could not start", [action])
         if request.attempts[number] is None:
@@ -329,7 +355,8 @@
         elif result is api.Result.OK and response is not None and request.passing is None:
             self._answer(request, FULFILLED, lambda client: client.served(response))
         name = request.arrival.request
-        self.post(api.Outcome(name, number, attempt.upstream, result, took_ns, request.over, report))
+        spent = request.upload is not None and request.upload.spent
+        self.post(api.Outcome(name, number, attempt.upstream, result, took_ns, request.over, report, spent))
 
     def _probe(self, upstream: int, now: int) -> None:
         def ended(result: api.Result, report: Report) -> None:
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -14,7 +14,7 @@
 from lanelift import interface as api
 from lanelift.lifecycle import NEWCOMERS_S, Lifecycle, Stage
 from lanelift.net.driver import Driver, OpenRequest
-from lanelift.net.http import UNREAD_S, Exchange, end_to_end
+from lanelift.net.http import UNREAD_S, Exchange, Upload, end_to_end
 from lanelift.net.kernel import bound_buffers, received, reset, unread
 from lanelift.net.parse import (
     MAX_BODY,
@@ -44,15 +44,18 @@
     """What a connection without an open request is doing."""
 
     NEW = "its request is not whole yet"
+    BODY = "its body is coming"
     IDLE = "between two requests"
     FLUSHING = "the rest of its answer is being read"
     LEAVING = "its last answer is being read"
 
 
-# How long it may: a request must be whole this long after its client connected, or after its first byte on a
-# connection that was used before (whoever is silent or slow is owed an end within 3 s of connecting); a kept
+# How long it may: a head must be whole this long after its client connected, or after its first byte on a
+# connection that was used before (whoever is silent or slow is owed an end within 3 s of connecting, and may
+# spend 2 s on a head); a body must go on; a kept
 # connection is closed after so long, and clients open another; a last answer is left so long to be read.
-LIMIT_S = {Phase.NEW: 2.5, Phase.IDLE: 10.0, Phase.FLUSHING: UNREAD_S, Phase.LEAVING: 1.0}
+LIMIT_S = {Phase.NEW: 2.5, Phase.BODY: 2.5, Phase.IDLE: 10.0, Phase.FLUSHING: UNREAD_S, Phase.LEAVING: 1.0}
+BODY_STEP = 16 * 1024  # bytes that a body must bring in that time to be given it again: slow ones bring more
 # At the cap these make room, in this order, once they have been in their phase for so long. An idle one is
 # left the 2 s that clients count on, and a new one the time in which an honest client sends its request.
 ROOM = ((Phase.LEAVING, 0.1), (Phase.NEW, 1.0), (Phase.IDLE, 2.0), (Phase.NEW, 0.05))
@@ -266,6 +269,10 @@
         self.chunks = False  # it reads answers in chunks
         self.source: Exchange | None = None  # of an answer that is passed on as it comes
         self.last = False  # the answer that is being written is the last on this connection
+        self.upload: Upload | None = None  # the open request's body, while it goes on as it comes
+        self.held = False  # its upstream takes no more of that for now
+        self.wait_ns = 0  # what its client will wait, from the last byte on
+        self.bytes = self.mark = 0  # come so far, and come when its body was last seen to go on
 
     @property
     def has_data(self) -> bool:
@@ -287,7 +294,8 @@
             self.abort()
             return
         self.asked_ns = time.monotonic_ns() - ago_ns
-        if (self.open is not None or self.blocked) and len(self.unread) > MAX_BODY:
+        self.bytes += len(data)
+        if ((self.open is not None and self.upload is None) or self.blocked) and len(self.unread) > MAX_BODY:
             self.abort()  # one request at a time: what floods in behind it would fill the memory
             return
         self.unread += data
@@ -321,6 +329,7 @@
     def _gone(self) -> None:
         request, self.open = self.open, None
         source, self.source = self.source, None
+        self.upload = None
         if source is not None:
             source.go_on()  # nobody is waited for: what still comes ends here
         if request is not None:
@@ -330,6 +339,10 @@
         """It has been in its phase for as long as it may."""
         if self.phase is Phase.NEW and self.has_data:
             self._reject(408, "the request did not come in time")
+        elif self.phase is Phase.BODY and (self.held or self.bytes - self.mark >= BODY_STEP):
+            self._body()
+        elif self.phase is Phase.BODY:
+            self._abandon(408, "the body did not come in time")
         elif self.phase is Phase.FLUSHING:
             self.cut()
         else:
@@ -345,43 +358,107 @@
     def _parse(self) -> None:
         """Read on, unless a request is open, or answers pile up that are not read."""
         reader = self.reader
-        while self.open is None and not self.lingering and not self.blocked:
-            if reader.ready:
+        while not self.lingering and not self.blocked:
+            if self.upload is not None:
+                if not self._forward(self.upload):
+                    return
+            elif self.open is not None:
+                return
+            elif reader.ready and not reader.ready[0].passed:
                 self._whole(reader.ready.popleft())
+            elif reader.passing is not None:
+                self._whole(reader.passing, coming=True)
             elif reader.fault is not None:
                 self._reject(reader.fault.status, str(reader.fault))
-            elif self.unread:
-                data = bytes(self.unread[:SLICE])
-                del self.unread[:SLICE]
-                reader.feed(data)
-            else:
-                if reader.continues:
-                    reader.continues = False
-                    self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            elif not self._read():
                 if self.phase is Phase.IDLE and self.has_data:
                     self.frontend.wait(self, Phase.NEW)
+                if self.phase is Phase.NEW and reader.head is not None and reader.head.complete:
+                    self._body()
                 return
 
-    def _whole(self, head: Request) -> None:
+    def _read(self) -> bool:
+        """Parse one slice of what has come; False if nothing is left."""
+        if self.unread:
+            data = bytes(self.unread[:SLICE])
+            del self.unread[:SLICE]
+            self.reader.feed(data)
+            return True
+        if self.reader.continues:
+            self.reader.continues = False
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return False
+
+    def _body(self) -> None:
+        """Its body is coming, and has gone on."""
+        self.mark = self.bytes
+        self.frontend.wait(self, Phase.BODY)
+
+    def _forward(self, upload: Upload) -> bool:
+        """Hand a body on; False where that has to wait, or is over."""
+        reader = self.reader
+        data = reader.take()
+        if data:
+            upload.came(data)
+        if reader.ready:
+            reader.ready.popleft()
+            reader.next()
+            self.upload = None
+            self.frontend.busy(self)
+            assert self.open is not None
+            self.driver.body_came(self.open, self.asked_ns + max(0, self.wait_ns - ANSWER_NS))
+            return False
+        if reader.fault is not None:
+            self._abandon(reader.fault.status, str(reader.fault))
+            return False
+        return not self.held and self._read()
+
+    def _flow(self, on: bool) -> None:
+        """Its upstream takes more of the body, or no more for now."""
+        if self.upload is None or self.held is not on or self.transport is None:
+            return
+        self.held = not on
+        if on:
+            self.transport.resume_reading()
+            self.frontend.loop.call_soon(self._parse)
+        else:
+            self.transport.pause_reading()
+
+    def _abandon(self, status: int, why: str) -> None:
+        """Its request will never be whole: what has gone on of it is called off."""
+        request, self.open = self.open, None
+        if request is not None:
+            self.driver.client_gone(request)
+        self._reject(status, why)
+
+    def _whole(self, head: Request, coming: bool = False) -> None:
+        """A request; `coming`: its body is longer than what is held, and goes on as it comes."""
         self.is_head, self.keep_alive, self.chunks = head.method == b"HEAD", head.keep_alive, head.chunks
         path, _, query = head.target.decode("latin-1").partition("?")
-        if path == "/ready":
+        if path == "/ready" and not coming:
             ready = self.frontend.lifecycle.wanted(self.driver.ready)
             self._answer(200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
             return
         try:
-            arrival = self._arrival(head, dict(head.headers), path, query)
-        except Unacceptable as error:  # the message is whole, so the connection can go on
-            self._answer(error.status, [], f"{error}\n".encode())
+            arrival = self._arrival(head, dict(head.headers), path, query, coming)
+        except Unacceptable as error:
+            # Where the message is whole, the connection can go on.
+            self._answer(error.status, [], f"{error}\n".encode(), last=coming)
             return
         headers = [row for row in end_to_end(head.headers) if row[0] not in NOT_OURS]
         request = OpenRequest(arrival, head.method, head.target, headers, head.body, self)
         self.open = request
-        self.frontend.busy(self)
+        if coming:
+            length = next((int(value) for name, value in head.headers if name == b"content-length"), None)
+            self.upload = request.upload = Upload(self._flow, length)
+            self._body()
+        else:
+            self.frontend.busy(self)
         if not self.driver.arrive(request):
             self.refused(0)
 
-    def _arrival(self, head: Request, headers: Mapping[bytes, bytes], path: str, query: str) -> api.Arrival:
+    def _arrival(self, head: Request, headers: Mapping[bytes, bytes], path: str, query: str,
+                 coming: bool) -> api.Arrival:
         settings = self.driver.settings
         first = path.strip("/").partition("/")[0]
         name = headers.get(b"x-class", first.encode("latin-1")).decode("latin-1")
@@ -392,7 +469,7 @@
         safe = settings.classes[name].effect is api.Effect.SAFE
         if head.method != (b"GET" if safe else b"POST"):
             raise Unacceptable(405, f"{'GET' if safe else 'POST'} is the method of this class")
-        if safe and head.body:
+        if safe and (head.body or coming):
             raise Unacceptable(400, "a GET has no body")
         request = headers.get(b"x-request-id", b"").decode("latin-1")
         if not request:
@@ -403,12 +480,12 @@
             raise Unacceptable(409, "a request with this X-Request-Id is open")
         # Nobody waits longer than the class allows, whatever the header says: SIGTERM counts on it.
         longest = settings.classes[name].deadline_ns
-        wait = min(longest, _whole_number(headers, b"x-deadline-ms", longest // MS) * MS)
+        wait = self.wait_ns = min(longest, _whole_number(headers, b"x-deadline-ms", longest // MS) * MS)
         key = parse_qs(query).get("obj", [""])[0] if "obj=" in query else ""
         return api.Arrival(
             request, name, self.driver.tenant_name(headers.get(b"x-tenant", b"")),
             self.asked_ns + max(0, wait - ANSWER_NS), _whole_number(headers, b"x-cost-hint", 0) * US, key,
-            headers.get(b"x-retry") == b"1", self.asked_ns)
+            headers.get(b"x-retry") == b"1", self.asked_ns, coming)
 
     # ---- out ---------------------------------------------------------------------------------------------
 
@@ -429,6 +506,9 @@
     def began(self, head: Response, source: Exchange) -> None:
         assert self.transport is not None
         self.source = source
+        if self.upload is not None:
+            self._flow(True)
+            self.upload, self.keep_alive = None, False
         length = head.header(b"content-length")
         rows = end_to_end(head.headers)
         if length is not None:
@@ -453,7 +533,7 @@
         self._flush()
 
     def cut(self) -> None:
-        self.open = self.source = None
+        self.open = self.source = self.upload = None
         if self.transport is not None:
             reset(self.transport)
 
@@ -462,6 +542,9 @@
             self.cut()  # another answer has begun: no second one can be given
             return
         served, self.open = self.open is not None, None
+        if self.upload is not None:
+            self._flow(True)  # the rest of its body is read to nobody
+            self.upload, last = None, True
         rows = [*headers, (b"Content-Length", b"%d" % len(body))]
         self._head(status, rows, last, served, b"" if self.is_head else body)
         self._flush()
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -41,6 +41,48 @@
     def came(self, data: bytes) -> None: ...
 
 
+class Upload:
+    """The body of a request that is longer than what is held, on its way from client to server.
+
+    Until a connection takes it, what has come waits here, and its client is held back (`flow(False)`): so far
+    it can still be sent elsewhere. Then each piece is written as it comes, and `flow` follows the server.
+    """
+
+    __slots__ = ("flow", "length", "waiting", "whole", "spent", "connection")
+
+    def __init__(self, flow: Callable[[bool], None], length: int | None) -> None:
+        self.flow = flow
+        self.length = length  # bytes; None: not told, and sent in chunks
+        self.waiting: list[bytes] = []  # no more than what is held of a message, and one read
+        self.whole = False  # its last byte has come
+        self.spent = False  # its first has left
+        self.connection: Connection | None = None
+
+    def came(self, data: bytes) -> None:
+        if self.connection is not None:
+            self.connection.write_body(self._framed(data))
+        elif not self.spent:
+            self.waiting.append(data)
+        if self.connection is None:
+            self.flow(False)
+
+    def end(self) -> None:
+        """All of it has come."""
+        self.whole = True
+        if self.connection is not None:
+            self.connection.write_body(b"" if self.length is not None else b"0\r\n\r\n")
+
+    def taken(self, connection: Connection) -> bytes:
+        """A connection takes it: what it begins with."""
+        self.connection, self.spent = connection, True
+        waiting, self.waiting = self.waiting, []
+        start = b"".join(map(self._framed, waiting))
+        return start + b"0\r\n\r\n" if self.whole and self.length is None else start
+
+    def _framed(self, data: bytes) -> bytes:
+        return data if self.length is not None else b"%x\r\n%b\r\n" % (len(data), data)
+
+
 class Exchange:
     """A request and its end, told exactly once: OK with a whole response, or why there is none.
 
@@ -49,12 +91,13 @@
     """
 
     __slots__ = ("request", "max_body", "done", "written", "connection", "timer", "unread_ns", "left",
-                 "passing", "begun", "held", "moved_s")
+                 "passing", "upload", "begun", "held", "moved_s")
 
     def __init__(self, request: bytes, done: Callable[[Result, Response | None], None],
                  max_body: int = MAX_BODY, left: Callable[[], None] | None = None,
-                 passing: Passing | None = None) -> None:
+                 passing: Passing | None = None, upload: Upload | None = None) -> None:
         self.request = request
+        self.upload = upload  # its body, where that is not part of `request`
         self.left = left  # told once, when its last byte has left
         self.passing = passing
         self.max_body = max_body
@@ -68,8 +111,15 @@
         self.moved_s = 0.0  # when some of it last went on, on the loop's clock
 
     def expire_in(self, seconds: float) -> None:
+        self.stay()
         self.timer = asyncio.get_running_loop().call_later(seconds, self.expire)
 
+    def stay(self) -> None:
+        """No time-out runs."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
     def expire(self) -> None:
         """The wait is over. What was not wholly written can't have run, and the close makes sure of it."""
         self.give_up(Result.TIMEOUT if self.written else Result.CONNECT_FAILED)
@@ -91,8 +141,7 @@
     def begin(self, head: Response) -> None:
         """Its answer is passed on from here."""
         self.begun = True
-        if self.timer is not None:
-            self.timer.cancel()
+        self.stay()
         self.moved_s = asyncio.get_running_loop().time()
         self._watch()
         assert self.passing is not None
@@ -128,9 +177,9 @@
         self.finish(Result.RESET if self.written else Result.CONNECT_FAILED)
 
     def finish(self, result: Result, response: Response | None = None) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
+        self.stay()
+        if self.upload is not None:
+            self.upload.connection = None
         self.connection = None
         done, self.done = self.done, None
         if done is not None:
@@ -149,6 +198,7 @@
         self.untold: asyncio.TimerHandle | None = None  # until when an answer of unknown length is held
         self.idle_since = 0.0
         self.closed = False
+        self.blocked = False  # the server takes no more for now
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -159,18 +209,49 @@
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
         self.reader.expect(exchange.max_body, exchange.passing is not None)
+        upload = exchange.upload
+        if upload is not None:
+            bound_buffers(self.transport)
+            self.write_body(exchange.request + upload.taken(self))
+            return
         exchange.written = True  # unless the transport says at once that it could not take all
         self.transport.write(exchange.request)
         if exchange.written:
             exchange.whole()
 
+    def write_body(self, data: bytes) -> None:
+        """A piece of a body that goes on as it comes, and whether there is room for the next."""
+        exchange = self.exchange
+        if self.transport is None or exchange is None or exchange.upload is None:
+            return
+        self.blocked = False  # unless the transport says at once that it could not take all
+        self.transport.write(data)
+        self._room(exchange, exchange.upload)
+
+    def _room(self, exchange: Exchange, upload: Upload) -> None:
+        if not upload.whole:
+            if self.blocked and exchange.timer is None:
+                exchange.expire_in(SILENT_S)  # a server that takes nothing for so long has gone
+            elif not self.blocked:
+                exchange.stay()
+            upload.flow(not self.blocked)
+        elif not self.blocked and not exchange.written:
+            exchange.whole()
+
     def pause_writing(self) -> None:
+        self.blocked = True
         if self.exchange is not None:
             self.exchange.written = False
 
     def resume_writing(self) -> None:
-        if self.exchange is not None:
-            self.exchange.whole()
+        self.blocked = False
+        exchange = self.exchange
+        if exchange is None:
+            return
+        if exchange.upload is not None:
+            self._room(exchange, exchange.upload)
+        else:
+            exchange.whole()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return READ  # what is read is handed on before the next read of any connection
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from lanelift import interface as api
-from lanelift.net.http import Connection, Exchange, Passing
+from lanelift.net.http import Connection, Exchange, Passing, Upload
 from lanelift.net.parse import Headers, Response, message
 
 log = logging.getLogger(__name__)
@@ -93,10 +93,12 @@
 
     # ---- attempts and probes -----------------------------------------------------------------------------
 
-    def send(self, number: int, request: bytes, timeout_s: float, done: Done,
-             left: Callable[[], None] | None = None, passing: Passing | None = None) -> Exchange | None:
+    def send(self, number: int, request: bytes, timeout_s: float | None, done: Done,
+             left: Callable[[], None] | None = None, passing: Passing | None = None,
+             upload: Upload | None = None) -> Exchange | None:
         """Start one attempt; None if there is no such upstream. The outcome never comes within this call.
-        `left` hears when its last byte was written, `passing` takes an answer that is too long to be held."""
+        `left` hears when its last byte was written, `passing` takes an answer that is too long to be held,
+        and a body that is brings its own `upload`. `timeout_s` None: no time-out runs yet."""
         target = self.targets.get(number)
         if target is None:
             return None
@@ -105,9 +107,10 @@
             report = self._report(response.header(b"x-load")) if response is not None else None
             done(outcome(result, response), response, report)
 
-        exchange = Exchange(request, ended, left=left, passing=passing)
+        exchange = Exchange(request, ended, left=left, passing=passing, upload=upload)
         self._start(target, exchange)
-        exchange.expire_in(timeout_s)  # last: what could not start must not come to a second end
+        if timeout_s is not None:
+            exchange.expire_in(timeout_s)  # last: what could not start must not come to a second end
         return exchange
 
     def probe(self, number: int, done: Callable[[api.Result, Report], None]) -> bool:
@@ -270,9 +273,13 @@
     return report or None
 
 
-def attempt_request(method: bytes, target: bytes, headers: Headers, body: bytes, wait_ms: int) -> bytes:
+def attempt_request(method: bytes, target: bytes, headers: Headers, body: bytes, wait_ms: int,
+                    upload: Upload | None = None) -> bytes:
     """The client's request as it goes on: with its own length, and how long this balancer will wait."""
     rows = [*headers, (b"X-Deadline-Ms", b"%d" % wait_ms)]
-    if body or method not in (b"GET", b"HEAD"):
+    if upload is not None:
+        rows.append((b"Transfer-Encoding", b"chunked") if upload.length is None
+                    else (b"Content-Length", b"%d" % upload.length))
+    elif body or method not in (b"GET", b"HEAD"):
         rows.append((b"Content-Length", b"%d" % len(body)))
     return message(b"%b %b HTTP/1.1" % (method, target), rows, body)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -102,6 +102,7 @@
     def connected(self, connection: http.Connection) -> None:
         super().connected(connection)
         self.links.append(connection)
+        self.poke()
 
     def lost(self, connection: http.Connection) -> None:
         super().lost(connection)
