--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -52,8 +52,8 @@
 
 # How long it may: a head must be whole this long after its client connected, or after its first byte on a
 # connection that was used before (whoever is silent or slow is owed an end within 3 s of connecting, and may
-# spend 2 s on a head); a body must go on; a kept
-# connection is closed after so long, and clients open another; a last answer is left so long to be read.
+# spend 2 s on a head); a body must have gone on by then; a kept connection is closed after so long, and
+# clients open another; a last answer is left so long to be read.
 LIMIT_S = {Phase.NEW: 2.5, Phase.BODY: 2.5, Phase.IDLE: 10.0, Phase.FLUSHING: UNREAD_S, Phase.LEAVING: 1.0}
 BODY_STEP = 16 * 1024  # bytes that a body must bring in that time to be given it again: slow ones bring more
 # At the cap these make room, in this order, once they have been in their phase for so long. An idle one is
--- a/tests/config/test_checked.py
+++ b/tests/config/test_checked.py
@@ -36,7 +36,7 @@
     (
         "[serve]",
         "[serve]\nxyz = 300",
-        "serve.xyz: unknown key; allowed: balancers, listen, number, seed, sockets, zone",
+        "serve.xyz: unknown key; allowed: balancers, listen, number, operator, seed, sockets, zone",
     ),
     ("[serve]", '[serve]\nseed = "xyz"', 'serve.seed: found "xyz"; allowed: hexadecimal digits'),
     ("[serve]", "[server]\n[serve]", "server: unknown key; did you mean serve?"),
--- a/tests/decide/book.py
+++ b/tests/decide/book.py
@@ -116,8 +116,8 @@
             if events:
                 seen += self.give(*events)
             for request, deadline in self.deadline.items():
-                if deadline + 20 * MS < self.now and not self.uploads(request):
-                    assert request in self.answer, f"{request} had no final answer in its time"
+                if deadline + 20 * MS < self.now and request not in self.answer:
+                    assert self.uploads(request), f"{request} had no final answer in its time"
         return seen
 
     def out(self) -> list[tuple[str, int]]:
