The two processes of an upgrade share the limit on descriptors

Need: rules and limits see one balancer, and each process of an upgrade held caps of its own.

Change: where the clients' socket is inherited and $TMPDIR is set, processes meet on a Unix socket there; while a connection between them is open each keeps to half. What a killed process left is found out and removed; a folder that can't be used costs one line and no start.

--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
+from pathlib import Path
 from typing import Any, Protocol
 
 from lanelift import interface as api
@@ -31,6 +32,7 @@
 # interpreter, and for sockets that were closed on this turn of the loop and still count.
 RESERVE = 32
 CLIENTS_PART = 0.55  # of the others. Of a third of all, a client has a request open, with one attempt out
+FOLDER = "TMPDIR"  # where the processes of an upgrade find each other
 LEAVE_S = 0.6  # over the longest deadline, after SIGTERM
 
 
@@ -93,6 +95,13 @@
                   int(inherited) if inherited else None)
 
 
+def places(sockets: int, processes: int) -> tuple[int, int]:
+    """How many connections each of so many processes may hold to clients and to upstreams."""
+    rest = max(2, sockets // processes - RESERVE)
+    clients = max(1, int(rest * CLIENTS_PART))
+    return clients, rest - clients
+
+
 def inherited_socket(descriptor: int) -> socket.socket:
     """The clients' socket, which was bound before this process was started and outlives it."""
     try:
@@ -166,8 +175,8 @@
     Both sockets are bound: `listener` is for clients, `operators` for operators' calls."""
     loop = asyncio.get_running_loop()
     settings = config.settings
-    clients = int((config.sockets - RESERVE) * CLIENTS_PART)
-    upstreams = Upstreams(settings.limits, config.sockets - RESERVE - clients, settings.report_columns)
+    clients, connections = places(config.sockets, 1)
+    upstreams = Upstreams(settings.limits, connections, settings.report_columns)
     driver = Driver(settings, config.seed, upstreams)
     if config.peer_listen is not None and settings.limits.peers:
         # Shared: in an upgrade the next process binds it while this one still runs.
@@ -182,6 +191,18 @@
     if tenants is not None:
         tenants.start()
     frontend = Frontend(driver, listener, clients, Lifecycle(shared=config.inherited is not None))
+    succession = None
+    folder = os.environ.get(FOLDER)
+    if config.inherited is not None and folder:
+        from lanelift.net.succession import Succession  # only where two processes may meet
+
+        def shared(processes: int) -> None:
+            clients, connections = places(config.sockets, processes)
+            frontend.limit(clients)
+            upstreams.limit(connections)
+
+        succession = Succession(Path(folder), shared)
+        await succession.start()
     operator = Operator(driver, frontend) if operators is not None else None
     if operator is not None and operators is not None:
         await operator.listen(operators)
@@ -202,6 +223,8 @@
         frontend.close()
         if operator is not None:
             operator.close()
+        if succession is not None:
+            succession.close()
         if tenants is not None:
             tenants.close()
         discovery.close()
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -154,6 +154,11 @@
             sock.close()
             self.lost(client)
 
+    def limit(self, clients: int) -> None:
+        """So many from now on: above that, answers end their connections."""
+        self.max_clients = clients
+        self._listen()
+
     def crowded(self, part: float) -> bool:
         return len(self.clients) >= part * self.max_clients
 
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -195,7 +195,7 @@
             connection.start(exchange)
 
     def _released(self, target: Target, connection: Connection) -> None:
-        if not target.keep:
+        if not target.keep or self.connections > self.max_connections:
             connection.abort()
             return
         connection.idle_since = asyncio.get_running_loop().time()
@@ -240,6 +240,12 @@
         oldest.abort()
         return True
 
+    def limit(self, connections: int) -> None:
+        """So many from now on: idle ones above that are closed at once, those in use when they come free."""
+        self.max_connections = connections
+        while self.connections > connections and self._make_room():
+            pass
+
     def close(self) -> None:
         for task in self.connecting:
             task.cancel()
--- /dev/null
+++ b/tests/operate/test_succession.py
@@ -0,0 +1,123 @@
+"""The two processes of an upgrade know of each other, and share the balancer's descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from pathlib import Path
+
+import pytest
+
+from lanelift.__main__ import RESERVE, places
+from lanelift.net import succession
+from lanelift.net.succession import Succession
+from tests.fakes import Watched, run
+
+
+class Told(Watched):
+    """What one process hears."""
+
+    def __init__(self, folder: Path, number: int) -> None:
+        super().__init__()
+        self.heard: list[int] = []
+        self.succession = Succession(folder, self._heard, number)
+
+    def _heard(self, processes: int) -> None:
+        self.heard.append(processes)
+        self.poke()
+
+
+def test_both_hear_of_each_other_and_of_the_end_of_either(tmp_path: Path) -> None:
+    async def test() -> None:
+        old, new = Told(tmp_path, 1), Told(tmp_path, 2)
+        await old.succession.start()
+        assert old.heard == []
+        await new.succession.start()
+        await old.until(lambda: old.heard == [2])
+        assert new.heard == [2]
+        new.succession.close()  # it failed: the old one has all again
+        await old.until(lambda: old.heard == [2, 1])
+        again = Told(tmp_path, 3)
+        await again.succession.start()
+        await old.until(lambda: old.heard == [2, 1, 2])
+        old.succession.close()  # it has left
+        await again.until(lambda: again.heard == [2, 1])
+        again.succession.close()
+        assert list(tmp_path.iterdir()) == []
+
+    run(test())
+
+
+def test_what_a_killed_process_left_behind_is_not_taken_for_one(tmp_path: Path) -> None:
+    async def test() -> None:
+        with socket.socket(socket.AF_UNIX) as left:
+            left.bind(str(tmp_path / "lanelift-9.sock"))
+        (tmp_path / "lanelift-8.sock").write_text("no socket at all")
+        told = Told(tmp_path, 1)
+        await told.succession.start()
+        assert told.heard == [] and told.succession.server is not None
+        assert not (tmp_path / "lanelift-9.sock").exists()
+        told.succession.close()
+
+    run(test())
+
+
+def test_a_process_that_does_not_answer_holds_up_no_start(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(succession, "CONNECT_S", 0.05)
+
+    async def test() -> None:
+        with socket.socket(socket.AF_UNIX) as full:
+            full.bind(str(tmp_path / "lanelift-9.sock"))
+            full.listen(0)
+            waiting = [socket.socket(socket.AF_UNIX) for _ in range(2)]
+            for sock in waiting:
+                sock.setblocking(False)
+                sock.connect_ex(str(tmp_path / "lanelift-9.sock"))
+            told = Told(tmp_path, 1)
+            await told.succession.start()
+            assert told.succession.server is not None
+            assert (tmp_path / "lanelift-9.sock").exists()  # it may run: its name stays
+            told.succession.close()
+            for sock in waiting:
+                sock.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize("folder", ["x" * 120, "not/there"])
+def test_a_folder_that_can_not_be_used_costs_a_line_and_no_start(
+    tmp_path: Path, folder: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def test() -> None:
+        told = Told(tmp_path / folder, 1)
+        await told.succession.start()
+        assert told.succession.server is None
+        told.succession.close()
+
+    run(test())
+    assert len([r for r in caplog.records if "will not be shared" in r.message]) == 1
+
+
+@pytest.mark.parametrize("sockets", [64, 256, 384, 1024])
+def test_the_processes_of_an_upgrade_keep_within_the_balancers_descriptors(sockets: int) -> None:
+    alone = places(sockets, 1)
+    assert sum(alone) + RESERVE == sockets
+    if sockets >= 4 * RESERVE:
+        assert 2 * (sum(places(sockets, 2)) + RESERVE) <= sockets
+    assert all(count >= 1 for count in places(sockets, 2))
+
+
+def test_links_are_bounded_by_processes_not_by_what_they_say(tmp_path: Path) -> None:
+    async def test() -> None:
+        told = Told(tmp_path, 1)
+        await told.succession.start()
+        reader, writer = await asyncio.open_unix_connection(str(told.succession.path))
+        await told.until(lambda: told.heard == [2])
+        writer.write(b"noise" * 1000)
+        writer.close()
+        await told.until(lambda: told.heard == [2, 1])
+        told.succession.close()
+
+    run(test())
--- a/tests/program/test_program.py
+++ b/tests/program/test_program.py
@@ -205,7 +205,7 @@
                 raw["settings"] = {**SETTINGS, "limits": {"peers": True}}
                 raw["operator"] = f"127.0.0.1:{free_port()}"
                 path.write_text(json.dumps(raw))
-                return {"BALANCER_CONFIG": str(path), "BALANCER_FD": str(fd)}
+                return {"BALANCER_CONFIG": str(path), "BALANCER_FD": str(fd), "TMPDIR": str(tmp_path)}
 
             peers = f"127.0.0.1:{free_port()}"  # the same for both
             command = (sys.executable, "-m", "lanelift")
@@ -227,6 +227,7 @@
                     discovery.close_links()
                     while await ready(operators) != 200:
                         await asyncio.sleep(0.02)
+                    assert len(list(tmp_path.glob("lanelift-*.sock"))) == 2  # they have met
                     old.send_signal(signal.SIGTERM)
                     assert await old.wait() == 0
                     count = len(upstream.seen)
