--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -1099,7 +1099,9 @@
                 break
             choices = self._choices(r) if r.attempts else None
             fresh = [s for s in r.asked if s.load_ns >= r.asked_ns and fleet.fit(s, now)]
-            if fresh and not r.busy and all(s.load >= 1 for s in fresh) and self._look_on(r, fresh, now):
+            quick = 4 * (now - r.asked_ns) < self.look_ns  # else time is short here, and questions cost some
+            if (quick and fresh and not r.busy and all(s.load >= 1 for s in fresh)
+                    and self._look_on(r, fresh, now)):
                 break
             fresh += [s for s in r.busy if fleet.fit(s, now)]
             failed = {a.server for a in r.attempts}  # it may fail there again: elsewhere, where that can be
