--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -1138,8 +1138,8 @@
         if self.fleet.cold(server, now):
             server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
             self._later(server.barred_ns, "pump", None)
-        # Out until its client gives up, also past the aim: its upstream works on, and a client that is refused
-        # instead asks for the same work once more. This hurts where upstreams stop at once what is called off.
+        # Out until its client gives up, also past the aim: its upstream works on, and whoever is refused asks
+        # for the same work once more. This hurts where upstreams stop at once what is called off.
         self.actions.append(api.Send(r.id, server.id))
         if not r.coming:
             self._watch(r, len(r.attempts) - 1, now)
