What a hint is worth is learned; what the work ahead makes late is refused at once

At fault: Crowding.work, linear in the hint, and HOPELESS, which built on it. Change: least squares of the logarithms, learned from answers that found nothing ahead. Ruled out: slow upstreams (times by upstream 1.3 to 4.5 of the hint, no group apart).

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -24,7 +24,9 @@
 TOLD, SENT, TOLD_UNIT_NS = struct.Struct(">BQH"), 1, 100_000
 TELLERS, MOST_TOLD, TOLD_PRICE, FULL_MESSAGE = 4, 12, 0.005, 256
 TOLD_DRAWS = 8  # beside the previous winner, where the work ahead is known: most of a home
+LATE_PART = 0.8  # of the time to its aim: where more work than that is ahead it is refused, lest all be late
 HOPELESS = 1.3  # of the time that its client waits: a request that takes longer alone is refused at once
+GUESS_USED, GUESS_DOUBT = 0.01, 8.0  # of each answer, at least; answers that outweigh the first belief
 MOST_BOOKED = 64  # sends remembered of an upstream; more than its waiting room holds
 UNLISTED_PART = 0.05  # weight of all unlisted tenants together, as a part of that of the listed ones
 # A directory may name any number of tenants; throttles are kept for those who asked lately. Dividing R among
@@ -578,6 +580,34 @@
             s.barred_ns = now + int(length * self.rng.uniform(0.75, 1.25))
 
 
+class Guess:
+    """What a request takes by what its hint says: least squares of the logarithms, the latest counting more.
+
+    A rough hint says less than its figure: where those of 6 and of 200 ms took 30 and 80, work ahead that is
+    added up from hints is wrong by as much, and what seems hopeless is not."""
+
+    def __init__(self) -> None:
+        self.seen = 0
+        self.hint = self.took = 0.0  # means of the logarithms
+        self.spread = self.joint = 0.0  # variance of the first, and covariance
+
+    def note(self, hint: int, took: float) -> None:
+        part = max(GUESS_USED, 1 / (self.seen + 1))
+        dx, dy = math.log(hint) - self.hint, math.log(max(1.0, took)) - self.took
+        self.seen += 1
+        self.hint += part * dx
+        self.took += part * dy
+        self.spread = (1 - part) * (self.spread + part * dx * dx)
+        self.joint = (1 - part) * (self.joint + part * dx * dy)
+
+    def of(self, hint: int) -> float:
+        if not self.seen:
+            return hint
+        doubt = GUESS_DOUBT / self.seen  # with few seen, half of what the hint says is believed
+        slope = (self.joint + 0.5 * doubt) / (self.spread + doubt)
+        return math.exp(self.took + min(1.0, max(0.0, slope)) * (math.log(hint) - self.hint))
+
+
 class Crowding:
     """Learns what requests take, and how many of this proxy's own may be in flight.
 
@@ -594,7 +624,8 @@
         self.seen = 0
         self.each = SECOND / 50  # time for each request that an upstream holds
         self.taken: dict[str, float] = {}  # class -> time, or time per hinted time
-        self.alone: dict[str, float] = {}  # the same where nothing was known to be ahead
+        self.alone: dict[str, float] = {}  # class -> time where nothing was known to be ahead
+        self.guess = Guess()  # the same by hint
         self.spread = 0.5  # mean deviation from the expected
 
     @property
@@ -609,9 +640,7 @@
 
     def work(self, r: Request) -> float:
         """What it takes where nothing is ahead of it."""
-        if r.hint:
-            return self.alone.get("", 1.0) * r.hint
-        return self.alone.get(r.cls.name, r.cls.aim_ns / 8)
+        return self.guess.of(r.hint) if r.hint else self.alone.get(r.cls.name, r.cls.aim_ns / 8)
 
     def note(self, r: Request, a: Attempt, took: int, tells: bool) -> None:
         server = a.server
@@ -619,8 +648,11 @@
         was = self.taken.get(name)
         self.taken[name] = took / base if was is None else was + 0.05 * (min(took / base, 8 * was) - was)
         if tells and not a.ahead and not a.opens:
-            was = self.alone.get(name)
-            self.alone[name] = took / base if was is None else was + 0.05 * (min(took / base, 8 * was) - was)
+            if r.hint:
+                self.guess.note(r.hint, took)
+            else:
+                alone = self.alone.setdefault(name, float(took))
+                self.alone[name] += 0.05 * (min(took, 8 * alone) - alone)
         self.crowd(a, took)
         ratio = took / max(1.0, a.ahead + self.work(r) if tells else self.expected(r))
         self.spread += 0.05 * (min(3.0, abs(ratio / server.pace - 1)) - self.spread)
@@ -1220,8 +1252,7 @@
             fresh = [s for s in fresh if s not in failed] or fresh
             r.asked = []
             server = pool.pick(now, fresh or choices)
-            left = (r.aim_ns - now) / self.crowding.each
-            full = fresh and server and server.load >= 1 and (server.load + 1.5) * server.pace > left
+            full = server is not None and self._full(r, server, bool(fresh), now)
             if full or (server is None and choices is not None):
                 # All that it may go to are busy, or would answer late: it must not stop the line.
                 self.rate.unplaced += 1
@@ -1238,6 +1269,15 @@
                 break
         pool.jammed = jammed
 
+    def _full(self, r: Request, server: Server, asked: bool, now: int) -> bool:
+        """Would the lightest that was found answer late, by what it told of its load or others told of it? An
+        idle one is never too slow to try."""
+        left, crowding = r.aim_ns - now, self.crowding
+        if asked:
+            return server.load >= 1 and (server.load + 1.5) * server.pace * crowding.each > left
+        ahead = server.ahead(now, crowding.each) if self.fleet.tells else 0.0
+        return ahead > 0 and ahead + crowding.work(r) * server.pace > LATE_PART * left
+
     def _send(self, r: Request, server: Server, now: int) -> None:
         tells, each = self.fleet.tells, self.crowding.each
         ahead, work = server.ahead(now, each), self.crowding.work(r) * server.pace
--- a/tests/decide/test_telling.py
+++ b/tests/decide/test_telling.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import Any
 
 import pytest
 
 from lanelift import interface as api
-from lanelift.decide import TOLD, Balancer
+from lanelift.decide import TOLD, Balancer, Guess
 from tests.decide.book import MS, SECOND, START, Desk, arrival, settings, upstreams
 from tests.decide.day import Day
 
@@ -134,6 +135,38 @@
     assert desk.answer == {"r1": "refused"} and "r2" in desk.sends
 
 
+@pytest.mark.parametrize(("ahead_ms", "answer"), [(0, None), (100, None), (260, "refused")])
+def test_work_ahead_that_makes_it_late_is_a_reason_to_refuse(ahead_ms: int, answer: str | None) -> None:
+    # Where all upstreams were behind, all answers came late, and each client asked once more.
+    desk = fleet()
+    for s in desk.balancer.fleet.servers.values():
+        desk.give(api.PeerMessage(3, TOLD.pack(1, s.id, max(1, 10 * ahead_ms))))
+    desk.advance(MS, MS)
+    desk.give(arrival(1, desk.now)._replace(cost_hint_ns=50 * MS))
+    assert desk.answer.get("r1") == answer
+
+
+@pytest.mark.parametrize("power", [0.3, 1.0, 0.0])
+def test_what_a_hint_is_worth_is_learned(power: float) -> None:
+    # Hints of 6 ms took 30 and those of 200 ms 80: added up as they stand they mislead.
+    guess, draw = Guess(), random.Random(3)
+    assert guess.of(20 * MS) == 20 * MS
+    for _ in range(200):
+        hint = int(math.exp(draw.gauss(3, 1)) * MS) + 1
+        guess.note(hint, 30 * MS * (hint / (20 * MS)) ** power * draw.uniform(0.8, 1.25))
+    for hint in (5, 20, 100):
+        assert guess.of(hint * MS) == pytest.approx(30 * MS * (hint / 20) ** power, rel=0.2)
+    guess.note(1, 0)  # whatever it is told
+    assert 0 < guess.of(1) < 10 * SECOND
+
+
+def test_one_answer_is_not_taken_for_a_law() -> None:
+    guess = Guess()
+    guess.note(10 * MS, 90 * MS)
+    assert guess.of(10 * MS) == pytest.approx(90 * MS)
+    assert 90 * MS < guess.of(40 * MS) < 360 * MS
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_telling_serves_more_and_a_lost_message_costs_little(seed: int) -> None:
     # Two draws by own counts alone are nearly blind where each proxy has one request out.
