Work ahead of an upstream is bounded; no hint refuses before answers showed its worth

(1) Server.book kept 64 sends but let the time at which they are done grow with every message: a flood from one peer, or one that tells wrongly, left an upstream untried for minutes, and where all were told of, everything was refused. The work ahead now counts for one second at most, several times any aim here. (2) HOPELESS judged by the bare hint until an answer had come, though hints are rough; it now wants eight answers, as every other figure does, and no body that is still coming is judged by it. (3) Driver.hear asked for one hand-over for each message past its bound; once is enough. Both mistakes planted, both tests fail.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -28,6 +28,7 @@
 HOPELESS = 1.3  # of the time that its client waits: a request that takes longer alone is refused at once
 GUESS_USED, GUESS_DOUBT = 0.01, 8.0  # of each answer, at least; answers that outweigh the first belief
 MOST_BOOKED = 64  # sends remembered of an upstream; more than its waiting room holds
+MOST_AHEAD_NS = SECOND  # work ahead counts no further: what was told wrongly must not bar one for long
 UNLISTED_PART = 0.05  # weight of all unlisted tenants together, as a part of that of the listed ones
 # A directory may name any number of tenants; throttles are kept for those who asked lately. Dividing R among
 # so many takes a few milliseconds; whoever finds no place shares one throttle with the others who don't.
@@ -373,13 +374,13 @@
         elif len(self.booked) >= MOST_BOOKED:
             self.booked.popleft()
         self.booked.append((now, work))
-        self.free_ns = max(self.free_ns, now) + work
+        self.free_ns = min(max(self.free_ns, now) + work, now + MOST_AHEAD_NS)
 
     def did(self, sent_ns: int, now: int) -> None:
         """It has done what was sent then, and so what was sent before: the rest is still ahead."""
         while self.booked and self.booked[0][0] <= sent_ns:
             self.booked.popleft()
-        self.free_ns = now + sum(work for _, work in self.booked)
+        self.free_ns = now + min(MOST_AHEAD_NS, sum(work for _, work in self.booked))
 
     def ahead(self, now: int, each: float) -> float:
         """Work that it has before it, as far as known. What is out there for longer than was thought may have
@@ -793,7 +794,8 @@
         self.requests[r.id] = r
         expected = self.crowding.expected(r)
         waited = now - asked
-        if self.fleet.tells and self.crowding.work(r) > HOPELESS * (e.deadline_ns - now) and not cls.stream:
+        if (self.fleet.tells and self.crowding.guess.seen >= EVIDENCE and not (cls.stream or e.coming)
+                and self.crowding.work(r) > HOPELESS * (e.deadline_ns - now)):
             self._refuse(r, now)  # all that its upstream does for it would be in vain, and hold up others
             return
         if expected < cls.aim_ns < waited + expected and not (cls.late_worth or cls.stream):
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -161,7 +161,7 @@
         """A message of another balancer. It calls for no decision of its own, and goes in before the next
         event that does: with a turn of the loop for each, messages cost more than what they tell is worth."""
         self.told.append(api.PeerMessage(sender, data, time.monotonic_ns()))
-        if len(self.told) >= MAX_TOLD and not self.waiting:
+        if len(self.told) == MAX_TOLD and not self.waiting:  # once: else a hand-over is under way already
             self.loop.call_soon(self._hand_over)
 
     def arrive(self, request: OpenRequest) -> bool:
--- a/tests/decide/test_telling.py
+++ b/tests/decide/test_telling.py
@@ -116,6 +116,13 @@
     server = desk.balancer.fleet.main.order[0]
     desk.give(*(api.PeerMessage(3, TOLD.pack(1, server.id, 0xFFFF)) for _ in range(1000)))
     assert len(server.booked) <= 64
+    assert server.ahead(desk.now, 0) <= SECOND  # nor is it left alone for hours
+
+
+def test_a_hint_is_no_reason_to_refuse_before_any_answer_showed_its_worth() -> None:
+    desk = fleet()
+    desk.give(arrival(1, desk.now)._replace(cost_hint_ns=2 * SECOND))
+    assert "r1" in desk.sends and not desk.answer
 
 
 def test_an_answer_tells_that_what_was_sent_before_is_done() -> None:
@@ -140,6 +147,8 @@
 
 def test_what_its_client_will_not_wait_for_is_refused_at_once() -> None:
     desk = fleet()
+    for i in range(1, 200):
+        desk.balancer.crowding.guess.note(i * MS, i * MS)
     hopeless = arrival(1, desk.now)._replace(cost_hint_ns=900 * MS)
     desk.give(hopeless, arrival(2, desk.now)._replace(cost_hint_ns=500 * MS))
     assert desk.answer == {"r1": "refused"} and "r2" in desk.sends
