--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -48,7 +48,7 @@
 
 
 def main() -> None:
-    parser = argparse.ArgumentParser(description=__doc__)
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     parser.add_argument("--rounds", type=int, default=9)
     args = parser.parse_args()
     draw = random.Random(1)
