One notion of the work ahead of an upstream, whoever told of it; lists keep what did not change

Change: each of the three books work on the upstream (Server.book, heard, did), and one rule chooses, refuses and expects by what is ahead. One estimate of what a request takes in place of two.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -24,8 +24,8 @@
 TOLD, SENT, TOLD_UNIT_NS = struct.Struct(">BQH"), 1, 100_000
 TELLERS, MOST_TOLD, TOLD_PRICE, FULL_MESSAGE = 4, 12, 0.005, 256
 TOLD_DRAWS = 8  # beside the previous winner, where the work ahead is known: most of a home
-LATE_PART = 0.8  # of the time to its aim: where more work than that is ahead it is refused, lest all be late
 HOPELESS = 1.3  # of the time that its client waits: a request that takes longer alone is refused at once
+LATE_PART = 0.8  # of the time to its aim: where more work than that is ahead it is refused, lest all be late
 GUESS_USED, GUESS_DOUBT = 0.01, 8.0  # of each answer, at least; answers that outweigh the first belief
 MOST_BOOKED = 64  # sends remembered of an upstream; more than its waiting room holds
 MOST_AHEAD_NS = SECOND  # work ahead counts no further: what was told wrongly must not bar one for long
@@ -55,8 +55,9 @@
 LOOKS = 3  # upstreams asked for their load before a send, where that is cheap
 LOOK_PRICE = 0.01  # most that the looks of a request may cost
 LOOK_NS, LOOK_PART = (SECOND // 333, SECOND // 100), 0.04  # of the aim: an answer that takes longer is late
+MARGIN = 1.3  # times what it is thought to take, and its spread: a request that takes longer is late
+OVER_PART = 0.1  # of a request's time to spare may go by in the line for a tenant over its share
 LINE_PART = 0.5  # of a request's time to spare may go by in the line
-OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
 BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
 AWAY_NS = SECOND // 2  # shorter is a pause between two attempts: figures do not call it an absence
@@ -74,21 +75,6 @@
     return x ^ (x >> 32)
 
 
-def holders(upstream: int, proxies: int, count: int) -> list[int]:
-    """Which proxies have it in their home: so many, drawn by its id, so that all compute them alike and what
-    comes or goes elsewhere moves none of them."""
-    if count >= proxies:
-        return list(range(proxies))
-    found: list[int] = []
-    salt = 0
-    while len(found) < count:
-        salt += 1
-        p = mixed(upstream, salt) % proxies
-        if p not in found:
-            found.append(p)
-    return found
-
-
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One send of a request."""
@@ -352,28 +338,30 @@
 
     id: int
     entry: api.Upstream
+    rank: int = 0  # its place among all, the same on every proxy
+    rest: int = 0  # and in this proxy's own order of those beyond its home
+    holders: list[int] = field(default_factory=list)  # proxies that have it in their home, as far as drawn
     inflight: int = 0  # own requests there
     pace: float = 1.0  # its time for a request against the fleet's
     strikes: int = 0
     barred_ns: int = 0  # not to be tried before this
     struck_ns: int = 0  # the last strike
-    own: bool = False  # in this proxy's home
-    load: float = 0.0  # requests it holds from all proxies, by its last report
-    load_ns: int = 0
     asked_ns: int = 0  # it was asked for its load then, and has not answered
+    heard_ns: int = 0  # its last answer to that
     most: int = 0  # own requests there at once, so far
-    unseen: int = 0  # sent to it since: its answer may not count them
     errors: float = 0.0  # the part of its answers that were errors lately
     breaks: int = 0  # of connections to it, in a row
-    booked: deque[tuple[int, float]] = field(default_factory=deque)  # sends of all who share it: when, work
-    free_ns: float = 0  # when it will have done them
+    # Work ahead, whoever told of it: own sends, those that others told, what it held when it was asked.
+    booked: deque[tuple[int, float]] = field(default_factory=deque)  # when, work
+    free_ns: float = 0  # when it will have done all of it
 
     def book(self, now: int, work: float) -> None:
         if self.free_ns <= now:
             self.booked.clear()
         elif len(self.booked) >= MOST_BOOKED:
             self.booked.popleft()
-        self.booked.append((now, work))
+        if work > 0:
+            self.booked.append((now, work))
         self.free_ns = min(max(self.free_ns, now) + work, now + MOST_AHEAD_NS)
 
     def did(self, sent_ns: int, now: int) -> None:
@@ -382,6 +370,14 @@
             self.booked.popleft()
         self.free_ns = now + min(MOST_AHEAD_NS, sum(work for _, work in self.booked))
 
+    def heard(self, work: float, now: int) -> None:
+        """It told what it holds. What was sent since it was asked may not be among that."""
+        since = [b for b in self.booked if b[0] >= self.asked_ns] if self.asked_ns else []
+        self.heard_ns, self.free_ns = now, 0
+        self.booked.clear()
+        for more in (work, *(b[1] for b in since)):
+            self.book(now, more)
+
     def ahead(self, now: int, each: float) -> float:
         """Work that it has before it, as far as known. What is out there for longer than was thought may have
         as much again to go."""
@@ -395,6 +391,20 @@
             self.free_ns -= work
 
 
+def holders(s: Server, proxies: int, count: int) -> list[int]:
+    """Which proxies have it in their home: so many, drawn by its id, so that all compute them alike and what
+    comes or goes elsewhere moves none of them. Drawn once: a list of many is no work for each change."""
+    if count >= proxies:
+        return list(range(proxies))
+    salt = 0
+    while len(s.holders) < count:
+        salt += 1
+        p = mixed(s.id, salt) % proxies
+        if p not in s.holders:
+            s.holders.append(p)
+    return s.holders[:count]
+
+
 class Pool:
     """The upstreams that one set of classes may go to, and the part of them this proxy draws from."""
 
@@ -422,15 +432,13 @@
             shared = TELLERS if self.fleet.settings.limits.peers else SHARED
             size = max(n / proxies, HOME[0], min(HOME[1], shared * n // proxies))
             self.sharers = min(proxies, math.ceil(size * proxies / n))
-            self.holders = {s.id: holders(s.id, proxies, self.sharers) for s in ready}
+            self.holders = {s.id: holders(s, proxies, self.sharers) for s in ready}
             own = [s for s in ready if me in self.holders[s.id]]
         mine = {s.id for s in own}
-        rest = sorted((s for s in ready if s.id not in mine), key=lambda s: (mixed(s.id, me + 1), s.id))
+        rest = sorted((s for s in ready if s.id not in mine), key=lambda s: (s.rest, s.id))
         self.order = own + rest
         self.home = min(n, max(len(own), HOME[0]))
         self.width = min(n, max(self.width, self.home))
-        for s in self.order[:self.home]:
-            s.own = True
 
     def draw(self, count: int, now: int) -> list[Server]:
         """So many random draws from those that are fit, and the previous winner. Looks at the upstreams
@@ -456,18 +464,14 @@
         return sum(s.barred_ns <= now for s in self.order[:self.width])
 
     def pick(self, now: int, allowed: Iterable[Server] | None = None) -> Server | None:
-        """The lightest, by own in flight and learned speed, of two draws and the previous winner. Where it is
-        told what others send, the one that will be free first, of a few more."""
-        tells = self.fleet.tells
-        draws = TOLD_DRAWS if tells else DRAWS
+        """The one that will be free first, of two draws and the previous winner; of a few more, where others
+        tell what they send."""
+        draws = TOLD_DRAWS if self.fleet.tells else DRAWS
         drawn = self.draw(draws, now) if allowed is None else [s for s in allowed if self.fleet.fit(s, now)]
         if not drawn:
             return None
-        if tells:
-            each = self.fleet.crowding.each
-            self.last = min(drawn, key=lambda s: s.ahead(now, each) + each * s.pace)
-        else:
-            self.last = min(drawn, key=lambda s: (max(s.inflight, s.load) + 1) * s.pace)
+        each = self.fleet.crowding.each
+        self.last = min(drawn, key=lambda s: s.ahead(now, each) + each * s.pace)
         return self.last
 
 
@@ -501,7 +505,10 @@
                 if s.id not in listed:
                     s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
         for entry in update.upstreams:
-            s = self.servers.setdefault(entry.id, Server(entry.id, entry))
+            if entry.id not in self.servers:
+                ranks = mixed(entry.id, 0), mixed(entry.id, self.settings.me + 1)
+                self.servers[entry.id] = Server(entry.id, entry, *ranks)
+            s = self.servers[entry.id]
             was, s.entry = s.entry, entry
             if entry.started_ns != was.started_ns:
                 s.strikes = s.barred_ns = 0
@@ -511,10 +518,8 @@
         for s in list(self.servers.values()):
             self.forget(s)
         ready = sorted((s for s in self.servers.values() if s.entry.state is api.State.READY),
-                       key=lambda s: (mixed(s.id, 0), s.id))
+                       key=lambda s: (s.rank, s.id))
         proxies = max(1, self.settings.replicas_of_me)
-        for s in self.servers.values():
-            s.own = False
         for pool in self.pools.values():
             pool.arrange(ready, proxies)
         self.sharers = float(proxies if self.looks else self.main.sharers)
@@ -624,8 +629,7 @@
         self.ease = EASE[0]  # above this, upstreams are crowded
         self.seen = 0
         self.each = SECOND / 50  # time for each request that an upstream holds
-        self.taken: dict[str, float] = {}  # class -> time, or time per hinted time
-        self.alone: dict[str, float] = {}  # class -> time where nothing was known to be ahead
+        self.taken: dict[str, float] = {}  # class -> time where nothing was known to be ahead
         self.guess = Guess()  # the same by hint
         self.spread = 0.5  # mean deviation from the expected
 
@@ -634,28 +638,20 @@
         """How many of them may be at any one upstream."""
         return math.ceil(self.window)
 
-    def expected(self, r: Request) -> float:
-        if r.hint:
-            return self.taken.get("", 1.0) * r.hint
-        return self.taken.get(r.cls.name, r.cls.aim_ns / 8)
-
     def work(self, r: Request) -> float:
-        """What it takes where nothing is ahead of it."""
-        return self.guess.of(r.hint) if r.hint else self.alone.get(r.cls.name, r.cls.aim_ns / 8)
+        """What it takes beside the work that is known to be ahead of it."""
+        return self.guess.of(r.hint) if r.hint else self.taken.get(r.cls.name, r.cls.aim_ns / 8)
 
-    def note(self, r: Request, a: Attempt, took: int, tells: bool) -> None:
+    def note(self, r: Request, a: Attempt, took: int) -> None:
         server = a.server
-        name, base = ("", float(r.hint)) if r.hint else (r.cls.name, 1.0)
-        was = self.taken.get(name)
-        self.taken[name] = took / base if was is None else was + 0.05 * (min(took / base, 8 * was) - was)
-        if tells and not a.ahead and not a.opens:
+        if not a.ahead:
             if r.hint:
                 self.guess.note(r.hint, took)
             else:
-                alone = self.alone.setdefault(name, float(took))
-                self.alone[name] += 0.05 * (min(took, 8 * alone) - alone)
+                was = self.taken.setdefault(r.cls.name, float(took))
+                self.taken[r.cls.name] += 0.05 * (min(took, 8 * was) - was)
         self.crowd(a, took)
-        ratio = took / max(1.0, a.ahead + self.work(r) if tells else self.expected(r))
+        ratio = took / max(1.0, a.ahead + self.work(r))
         self.spread += 0.05 * (min(3.0, abs(ratio / server.pace - 1)) - self.spread)
         server.pace += 0.2 * (min(10.0, max(0.1, ratio)) - server.pace)
 
@@ -714,7 +710,6 @@
         self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
         self.actions: list[api.Action] = []
         self.checked_ns = now
-        self.guest = 1.0  # how much slower upstreams beyond the home answer
         self.out = self.stuck = 0  # own attempts in flight, and those of them that are overdue
         self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
         self.look_ns = int(max(LOOK_NS[0], min(LOOK_NS[1], LOOK_PART * self.patience_ns)))
@@ -792,10 +787,10 @@
         r = Request(e.request, cls, e.tenant, throttle, pool, e.deadline_ns, aim, hint, e.retry,
                     coming=e.coming)
         self.requests[r.id] = r
-        expected = self.crowding.expected(r)
+        expected = self.crowding.work(r)
         waited = now - asked
         if (self.fleet.tells and self.crowding.guess.seen >= EVIDENCE and not (cls.stream or e.coming)
-                and self.crowding.work(r) > HOPELESS * (e.deadline_ns - now)):
+                and expected > HOPELESS * (e.deadline_ns - now)):
             self._refuse(r, now)  # all that its upstream does for it would be in vain, and hold up others
             return
         if expected < cls.aim_ns < waited + expected and not (cls.late_worth or cls.stream):
@@ -817,7 +812,7 @@
 
     def _bound(self, r: Request, now: int) -> None:
         """How long it may wait; whatever comes, a request that waits is looked at then."""
-        need = self.crowding.expected(r) * (1 + self.crowding.spread)
+        need = self.crowding.work(r) * (MARGIN + self.crowding.spread)
         r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
         self._later(r.give_up_ns, "give up", r)
 
@@ -1002,33 +997,32 @@
             # come faster than answers, each would need a connection. Who owes one for long is passed over.
             drawn = dict.fromkeys(r.pool.draw(LOOKS, now))
             r.busy = []
-            r.asked, r.asked_ns = [s for s in drawn if not s.asked_ns or now < s.asked_ns + self.look_ns], now
-            for s in r.asked:
-                if not s.asked_ns:
-                    s.asked_ns, s.unseen = now, 0
-                    self.actions.append(api.Probe(s.id))
-            self._later(now + self.look_ns, "look", r)
+            self._ask(r, [s for s in drawn if not s.asked_ns or now < s.asked_ns + self.look_ns], now)
+
+    def _ask(self, r: Request, servers: list[Server], now: int) -> None:
+        r.asked, r.asked_ns = servers, now
+        for s in servers:
+            if not s.asked_ns:
+                s.asked_ns = now
+                self.actions.append(api.Probe(s.id))
+        self._later(now + self.look_ns, "look", r)
 
     def _look_on(self, r: Request, busy: list[Server], now: int) -> bool:
         """All who were asked have work: before it waits behind that, a few others are asked, once."""
         others = [s for s in r.pool.order[:r.pool.width] if s not in busy and self.fleet.fit(s, now)]
         if not others:
             return False
-        r.busy, r.asked_ns = busy, now
-        r.asked = self.rng.sample(others, min(LOOKS, len(others)))
-        for s in r.asked:
-            if not s.asked_ns:
-                s.asked_ns, s.unseen = now, 0
-                self.actions.append(api.Probe(s.id))
-        self._later(now + self.look_ns, "look", r)
+        r.busy = busy
+        self._ask(r, self.rng.sample(others, min(LOOKS, len(others))), now)
         return True
 
     def _probed(self, e: api.ProbeResult, now: int) -> None:
         server = self.fleet.servers.get(e.upstream)
         if server is not None:
-            server.asked_ns = 0
             if e.report is not None:
-                server.load, server.load_ns = e.report.get("inflight", 0.0) + server.unseen, now
+                each = self.crowding.each * server.pace
+                server.heard(e.report.get("inflight", 0.0) * each, now)
+            server.asked_ns = 0
 
     def _told(self, e: api.PeerMessage, now: int) -> None:
         """Another proxy has sent something to an upstream that it shares with this one."""
@@ -1072,13 +1066,11 @@
             if e.result is api.Result.TIMEOUT:
                 self.crowding.crowd(a, e.took_ns)
             if e.result is not api.Result.RESET or fleet.broken(server):
-                fleet.bar(a, now, a.expected if busy else SECOND / 4)
-                self._later(server.barred_ns, "pump", None)
+                self._bar(a, now, a.expected if busy else SECOND / 4)
         elif e.result is api.Result.ERROR:
             self.rate.good += 1
             if fleet.judge(server, True):
-                fleet.bar(a, now, SECOND / 4)
-                self._later(server.barred_ns, "pump", None)
+                self._bar(a, now, SECOND / 4)
         if e.result in api.NEVER_RAN or e.result is api.Result.ERROR:
             server.unbook(a.sent_ns, a.work)
         self._frees(a)
@@ -1088,6 +1080,10 @@
             self._again(r, now)
         self._forget(r, now)
 
+    def _bar(self, a: Attempt, now: int, base: float) -> None:
+        self.fleet.bar(a, now, base)
+        self._later(a.server.barred_ns, "pump", None)
+
     def _begun(self, r: Request, e: api.AnswerBegun, now: int) -> None:
         """Its answer is passed on from here. How long that takes is its client's matter: the time that counts
         is over, and the place in the window is free."""
@@ -1104,10 +1100,8 @@
     def _answered(self, r: Request, a: Attempt, took_ns: int, now: int) -> None:
         """Learn from an answer that took so long."""
         server, fleet = a.server, self.fleet
-        self.crowding.note(r, a, took_ns, fleet.tells)
+        self.crowding.note(r, a, took_ns)
         self.crowding.feel(took_ns / r.cls.aim_ns, bool(r.pool.blocked_ns), r.pool.width, now)
-        if not server.own:
-            self.guest += 0.2 * (min(5.0, took_ns / max(1.0, self.crowding.expected(r))) - self.guest)
         late = a.sent_ns + took_ns > r.aim_ns
         self.rate.good += not late
         self.rate.bad += late  # what a crowded fleet shows first
@@ -1122,7 +1116,6 @@
         self.out -= 1
         self.stuck -= a.overdue
         a.server.inflight -= 1
-        a.server.load = max(0.0, a.server.load - 1)
         self.fleet.forget(a.server)
 
     def _forget(self, r: Request, now: int) -> None:
@@ -1213,8 +1206,7 @@
             return
         a.overdue = True
         self.stuck += 1
-        self.fleet.bar(a, now, a.expected)
-        self._later(a.server.barred_ns, "pump", None)
+        self._bar(a, now, a.expected)
         if r.pool.line or now + a.expected > r.aim_ns:
             return
         server = r.pool.pick(now, self._choices(r))
@@ -1233,7 +1225,7 @@
         jammed = False
         while pool.line:
             r = pool.line[0]
-            if r.asked and now < r.asked_ns + self.look_ns and any(s.load_ns < r.asked_ns for s in r.asked):
+            if r.asked and now < r.asked_ns + self.look_ns and any(s.heard_ns < r.asked_ns for s in r.asked):
                 break  # who waits for an answer to a question is not held up by a want of room
             pool.blocked_ns = pool.blocked_ns or now
             # What stands still must not fill the window while other answers are quick; but where they are
@@ -1244,17 +1236,15 @@
                 jammed = True
                 break
             choices = self._choices(r) if r.attempts else None
-            fresh = [s for s in r.asked if s.load_ns >= r.asked_ns and fleet.fit(s, now)]
+            fresh = [s for s in r.asked if s.heard_ns >= r.asked_ns and fleet.fit(s, now)]
             quick = 4 * (now - r.asked_ns) < self.look_ns  # else time is short here, and questions cost some
-            if (quick and fresh and not r.busy and all(s.load >= 1 for s in fresh)
+            if (quick and fresh and not r.busy and all(s.ahead(now, 0.0) > 0 for s in fresh)
                     and self._look_on(r, fresh, now)):
                 break
             fresh += [s for s in r.busy if fleet.fit(s, now)]
-            failed = {a.server for a in r.attempts}  # it may fail there again: elsewhere, where that can be
-            fresh = [s for s in fresh if s not in failed] or fresh
             r.asked = []
             server = pool.pick(now, fresh or choices)
-            full = server is not None and self._full(r, server, bool(fresh), now)
+            full = server is not None and self._full(r, server, now)
             if full or (server is None and choices is not None):
                 # All that it may go to are busy, or would answer late: it must not stop the line.
                 self.rate.unplaced += 1
@@ -1271,30 +1261,23 @@
                 break
         pool.jammed = jammed
 
-    def _full(self, r: Request, server: Server, asked: bool, now: int) -> bool:
-        """Would the lightest that was found answer late, by what it told of its load or others told of it? An
-        idle one is never too slow to try."""
-        left, crowding = r.aim_ns - now, self.crowding
-        if asked:
-            return server.load >= 1 and (server.load + 1.5) * server.pace * crowding.each > left
-        ahead = server.ahead(now, crowding.each) if self.fleet.tells else 0.0
-        return ahead > 0 and ahead + crowding.work(r) * server.pace > LATE_PART * left
+    def _full(self, r: Request, server: Server, now: int) -> bool:
+        """Would the first that is free answer late, by the work that is known to be ahead of it? An idle one
+        is never too slow to try."""
+        ahead = server.ahead(now, self.crowding.each)
+        return ahead > 0 and ahead + self.crowding.work(r) * server.pace > LATE_PART * (r.aim_ns - now)
 
     def _send(self, r: Request, server: Server, now: int) -> None:
-        tells, each = self.fleet.tells, self.crowding.each
+        each = self.crowding.each
         ahead, work = server.ahead(now, each), self.crowding.work(r) * server.pace
         self.out += 1
         server.inflight += 1
-        server.load += server.load_ns > 0
-        server.unseen += 1
-        expected = ahead + work if tells else self.crowding.expected(r) * server.pace
-        expected = min(max(1.0, expected), r.cls.deadline_ns)
+        expected = min(max(1.0, ahead + work), r.cls.deadline_ns)
         opens = server.inflight > server.most
         server.most = max(server.most, server.inflight)
-        load = 1 + ahead / each if tells else max(server.load, server.inflight)
-        r.attempts.append(Attempt(server, now, expected, load, ahead, work, opens))
-        if tells:
-            server.book(now, work)
+        r.attempts.append(Attempt(server, now, expected, 1 + ahead / each, ahead, work, opens))
+        server.book(now, work)
+        if self.fleet.tells:
             self._tell(r, server, work)
         if self.fleet.cold(server, now):
             server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
@@ -1307,7 +1290,7 @@
 
     def _watch(self, r: Request, number: int, now: int) -> None:
         """Look again at an attempt when its upstream should have answered."""
-        overdue = now + int(r.attempts[number].expected * (1.3 + 3 * self.crowding.spread))
+        overdue = now + int(r.attempts[number].expected * (MARGIN + 3 * self.crowding.spread))
         self._later(overdue, "overdue", r, number)
 
     def _feedback(self, now: int) -> None:
@@ -1315,12 +1298,10 @@
         if self.known is not None:
             self._tidy(now)
         fleet = self.fleet
-        # Reach beyond the home while the line waits and the upstreams there answer about as fast.
-        self.guest += 0.03 * (1.0 - self.guest)
-        for pool in fleet.pools.values():
-            if pool.blocked_ns and self.guest < 1.5 and pool.width < len(pool.order):
+        for pool in fleet.pools.values():  # reach beyond the home while the line waits
+            if pool.blocked_ns and pool.width < len(pool.order):
                 pool.width += 1
-            elif (not pool.blocked_ns or self.guest > 1.5) and pool.width > pool.home:
+            elif not pool.blocked_ns and pool.width > pool.home:
                 pool.width -= 1
         self.rate.adjust(now, self.crowding.stress - self.crowding.ease)
         fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.main.width) - fleet.borne)
--- a/tests/decide/day.py
+++ b/tests/decide/day.py
@@ -38,6 +38,8 @@
         self.home: dict[str, int] = {}  # request -> the balancer that has it
         self.lost, self.rng, self.messages = lost, random.Random(seed), 0
         self.boxes = {i: Box(spec, 0) for i in range(1, boxes + 1)}
+        self.silent: set[int] = set()  # boxes cut off: what is sent there and what they answer is lost
+        self.dead: set[int] = set()  # balancers that were killed: nothing comes to them any more
         self.now = self.count = 0
         self.due: list[tuple[int, int, str, Any]] = []
         self.tenant: dict[str, str] = {}
@@ -46,6 +48,7 @@
         self.sent: dict[tuple[str, int], tuple[int, int]] = {}  # attempts that are out: box, when sent
         self.answers: Counter[tuple[str, str]] = Counter()
         self.over: set[str] = set()
+        self.sends: list[tuple[int, int, int]] = []  # when, the balancer, the box
         for me in range(len(self.balancers)):
             self._do([api.ListUpdate(api.ListKind.FULL, [api.Upstream(i) for i in self.boxes])], me)
 
@@ -96,11 +99,15 @@
 
     def _reach(self, about: tuple[str, int, int]) -> None:
         name, attempt, box = about
+        if box in self.silent:
+            return  # its time-out will tell
         if not self.boxes[box].offer(f"{name}#{attempt}", int(name.partition("/")[2]), self.now):
             self._ended(name, attempt, api.Result.FULL)
 
     def _answered(self, about: tuple[str, int]) -> None:
         name, _, attempt = about[0].partition("#")
+        if about[1] in self.silent:
+            return
         self._ended(name, int(attempt), api.Result.OK)
 
     def _expire(self, about: tuple[str, int]) -> None:
@@ -109,6 +116,20 @@
             self.boxes[self.sent[about][0]].drop(f"{name}#{attempt}", self.now)
             self._ended(name, attempt, api.Result.TIMEOUT)
 
+    def _probe(self, about: tuple[int, int]) -> None:
+        me, box = about
+        if box in self.silent:
+            return
+        report = {"inflight": float(self.boxes[box].held)}
+        result = api.ProbeResult(box, api.Result.OK, 2 * WAY_NS, report)
+        self.at(self.now + WAY_NS, "heard", (me, result))
+
+    def _cancel(self, about: tuple[str, int]) -> None:
+        name, attempt = about
+        if about in self.sent:
+            self.boxes[self.sent[about][0]].drop(f"{name}#{attempt}", self.now)
+            self._ended(name, attempt, api.Result.CANCELLED)
+
     def _ended(self, name: str, attempt: int, result: api.Result) -> None:
         box, since = self.sent.pop((name, attempt), (0, 0))
         if box:
@@ -119,15 +140,22 @@
             self._do([api.Outcome(name, attempt, box, result, self.now - since, over)], self.home[name])
 
     def _do(self, events: Iterable[api.Event], me: int) -> None:
+        if me in self.dead:
+            return
         for action in self.balancers[me].handle(self.now, list(events)):
             match action:
                 case api.Send():
                     number = self.attempts[action.request]
                     self.attempts[action.request] += 1
                     self.sent[action.request, number] = action.upstream, self.now
+                    self.sends.append((self.now, me, action.upstream))
                     self.at(self.now + WAY_NS, "reach", (action.request, number, action.upstream))
                     wait = action.timeout_ns or self.deadline[action.request] - self.now
                     self.at(self.now + wait, "expire", (action.request, number))
+                case api.Probe():
+                    self.at(self.now + WAY_NS, "probe", (me, action.upstream))
+                case api.Cancel():
+                    self.at(self.now, "cancel", (action.request, action.attempt))
                 case api.SetTimer():
                     self.at(self.now + action.delay_ns, "wake", (me, action.name))
                 case api.Tell():
