A cut-off home is replaced, handshakes are timed, and the rate is not cut for want of room

Ruled out: crowded upstreams (stress), own lateness (0.24 s of CPU in the worst second), the window (8 of 1 out). At fault: Balancer._feedback (reach follows waiting alone), Upstreams._connect (the settings' limit), Rate.adjust (who finds no room counts though work ahead is known; a climb of a tenth).

Change: Pool.reach takes others in for those that can't be connected to; Handshakes (RFC 6298's estimator) bounds a connection's patience; R does not count the unplaced where sends are told, and climbs by distance from a crowd.

--- a/lanelift/decide.py
+++ b/lanelift/decide.py
@@ -40,8 +40,8 @@
 START_RATE = 10_000.0  # R starts above anything a proxy carries
 FEEDBACK_NS = SECOND // 2
 SLACK = 0.2  # R comes down only when answers take this much more of their aim than is crowded
-CLIMB = 1.1, 2.0  # of R in one interval: the second while nothing is crowded
-CALM, FEW = -0.1, 8  # stress is so far below crowded, and not one attempt in so many failed or was late
+CALM = -0.1  # stress so far below crowded: what is sent is answered quickly
+CLIMB, CALM_CLIMB = 1.1, 2.0  # of R in one interval, and more for each part of their aim that answers leave
 LEAST, BEST_FADE = 0.2, 0.98  # of what was served in good times, R keeps; forgotten in a minute
 DEEPEST_CUT = 0.3  # of R in one feedback interval
 START_WINDOW = 8  # requests of all proxies together in flight at each upstream
@@ -287,7 +287,9 @@
         self.weight = sum(t.weight for t in self.throttles)
         self._share(now)
 
-    def adjust(self, now: int, excess: float) -> None:
+    def adjust(self, now: int, excess: float, blind: bool = True) -> None:
+        """Set R by how much more of their aim answers take than is crowded. Where others tell what they send,
+        who finds no room is refused for work that is known to be there; R must not refuse the next for it."""
         elapsed = now - self.since
         total = self.good + self.bad + self.unplaced
         # A proxy with little traffic waits for enough outcomes, but not for ever.
@@ -298,7 +300,7 @@
         self.best = max(self.served, self.best * BEST_FADE)
         quick = excess < CALM
         # Judged by what lately ended, not by this interval: of eight outcomes one is late on any good day.
-        excess += self.unplaced / max(1, total) - SLACK
+        excess += (self.unplaced / max(1, total) if blind else 0.0) - SLACK
         if excess > 0:
             # After a shrink R stands far above what is served: come down to that first. But where what is
             # sent is answered quickly, little was sent as little was let through, as in the rush of a start.
@@ -306,9 +308,8 @@
             cut = top * (1 - min(DEEPEST_CUT, excess))
             self.value = max(LEAST * self.best, 0.9 * self.served, cut)
         elif total and any(t.short and t.borrows for t in self.throttles):
-            # Where nothing is crowded, what is short is R itself: it must not starve a fleet for seconds.
-            calm = excess < CALM - SLACK and FEW * self.bad <= self.good
-            climb = CLIMB[1] if calm else CLIMB[0]
+            # The further from a crowd, the sooner back: what is short after a cut is R itself.
+            climb = CLIMB + CALM_CLIMB * max(0.0, -excess - SLACK)
             self.value = min(START_RATE, self.value * climb + 0.5)
         for t in self.throttles:
             t.demand += 0.5 * (t.asked * SECOND / elapsed - t.demand)
@@ -344,6 +345,7 @@
     inflight: int = 0  # own requests there
     pace: float = 1.0  # its time for a request against the fleet's
     strikes: int = 0
+    unreached: bool = False  # the last attempt to connect to it failed
     barred_ns: int = 0  # not to be tried before this
     struck_ns: int = 0  # the last strike
     asked_ns: int = 0  # it was asked for its load then, and has not answered
@@ -440,6 +442,16 @@
         self.home = min(n, max(len(own), HOME[0]))
         self.width = min(n, max(self.width, self.home))
 
+    def reach(self, now: int) -> None:
+        """Others take the places of those that can't be reached, as when their zone is cut off; and one more
+        is taken in while the line waits. Not those of crowded ones: beyond its home a proxy draws blindly."""
+        away = sum(s.unreached and now < s.barred_ns + SECOND for s in self.order[:self.width])
+        wanted = min(len(self.order), self.home + away)
+        if self.blocked_ns or self.width < wanted:
+            self.width = min(len(self.order), max(self.width + 1, wanted))
+        elif self.width > wanted:
+            self.width -= 1
+
     def draw(self, count: int, now: int) -> list[Server]:
         """So many random draws from those that are fit, and the previous winner. Looks at the upstreams
         within reach at most, never at the fleet."""
@@ -1044,6 +1056,7 @@
             return
         a = r.attempts[e.attempt]
         a.result = e.result
+        a.server.unreached = e.result is api.Result.CONNECT_FAILED
         r.spent = r.spent or e.spent
         server = a.server  # also of one that is listed no more: counts must come out even
         fleet = self.fleet
@@ -1298,12 +1311,9 @@
         if self.known is not None:
             self._tidy(now)
         fleet = self.fleet
-        for pool in fleet.pools.values():  # reach beyond the home while the line waits
-            if pool.blocked_ns and pool.width < len(pool.order):
-                pool.width += 1
-            elif not pool.blocked_ns and pool.width > pool.home:
-                pool.width -= 1
-        self.rate.adjust(now, self.crowding.stress - self.crowding.ease)
+        for pool in fleet.pools.values():
+            pool.reach(now)
+        self.rate.adjust(now, self.crowding.stress - self.crowding.ease, blind=not fleet.tells)
         fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.main.width) - fleet.borne)
         for t in self.rate.throttles:
             self._release(t, now)
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -19,6 +19,10 @@
 # A connection is used again at once only if there is no other: what comes late behind an answer, a second
 # copy or noise, would answer the next request. What was written together is seen within this time.
 SETTLE_S = 0.002
+# A handshake that takes longer than this, and far longer than others, is of no use: a segment lost on the way
+# costs a second (RFC 6298, 2.1), and the request can go elsewhere, as nothing of it was written.
+HANDSHAKE_S = 0.03
+LATE_S = 0.01  # a time-out that comes so late tells of this program's want of time, not of an upstream
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 QUIET_S = 5.0  # between two lines about one and the same shortage
 NEVER_RAN = (503, 504)
@@ -50,9 +54,32 @@
     keep: bool = True  # connections that come free are kept
 
 
+class Handshakes:
+    """How long a connection may take to come up, by those that did: the estimator of RFC 6298 (2.2, 2.3)."""
+
+    def __init__(self, limit_s: float) -> None:
+        self.limit_s = limit_s
+        self.mean_s: float | None = None
+        self.spread_s = 0.0
+
+    def took(self, seconds: float) -> None:
+        if self.mean_s is None:
+            self.mean_s, self.spread_s = seconds, seconds / 2
+        else:
+            self.spread_s += (abs(seconds - self.mean_s) - self.spread_s) / 4
+            self.mean_s += (seconds - self.mean_s) / 8
+
+    @property
+    def patience_s(self) -> float:
+        if self.mean_s is None:
+            return self.limit_s
+        return min(self.limit_s, max(HANDSHAKE_S, self.mean_s + 4 * self.spread_s))
+
+
 class Upstreams:
     def __init__(self, limits: api.Limits, max_connections: int, columns: Collection[str]) -> None:
         self.connect_timeout = limits.connect_timeout_ns / 1e9
+        self.handshakes = Handshakes(self.connect_timeout)
         self.idle_s = limits.conn_idle_ns * IDLE_PART / 1e9
         self.max_connections = max_connections
         self.columns = frozenset(columns)
@@ -175,18 +202,22 @@
 
     async def _connect(self, target: Target, exchange: Exchange) -> None:
         connection = Connection(lambda c: self._released(target, c), lambda c: self._lost(target, c))
+        loop = asyncio.get_running_loop()
+        began, patience_s = loop.time(), self.handshakes.patience_s
         try:
-            async with asyncio.timeout(self.connect_timeout):
-                await asyncio.get_running_loop().create_connection(
+            async with asyncio.timeout(patience_s):
+                await loop.create_connection(
                     lambda: connection, target.endpoint.host, target.endpoint.port)
         except Exception as error:  # OSError, and whatever an address that is none may raise
             if connection.transport is None:
                 self.connections -= 1
             connection.abort()
-            # For want of descriptors here no upstream is to blame.
-            here = isinstance(error, OSError) and error.errno in NO_DESCRIPTOR
+            # For want of descriptors or of time here no upstream is to blame.
+            late = isinstance(error, TimeoutError) and loop.time() - began > patience_s + LATE_S
+            here = late or (isinstance(error, OSError) and error.errno in NO_DESCRIPTOR)
             exchange.give_up(api.Result.MOOT if here else api.Result.CONNECT_FAILED)
             return
+        self.handshakes.took(loop.time() - began)
         if connection.closed:
             exchange.give_up(api.Result.CONNECT_FAILED)
         elif exchange.done is None:  # given up meanwhile; the connection serves the next one
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,8 +8,8 @@
 import asyncio
 import json
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable, Sequence
-from contextlib import asynccontextmanager, suppress
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable, Iterator, Sequence
+from contextlib import asynccontextmanager, contextmanager, suppress
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -317,6 +317,20 @@
             server.stop()
 
 
+@contextmanager
+def deaf() -> Iterator[tuple[str, int]]:
+    """The address of a listener whose backlog is full: it answers nothing to the next connection."""
+    full, *waiting = (socket.socket() for _ in range(5))
+    full.bind(("127.0.0.1", 0))
+    full.listen(0)
+    for sock in waiting:
+        sock.setblocking(False)
+        sock.connect_ex(full.getsockname())
+    yield full.getsockname()
+    for sock in (full, *waiting):
+        sock.close()
+
+
 def free_port() -> int:
     """A loopback port where nobody listens."""
     with socket.socket() as taken:
--- /dev/null
+++ b/tests/net/test_handshakes.py
@@ -0,0 +1,48 @@
+"""A connection that does not come up is given up by what others take; its request goes elsewhere in time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from lanelift import interface as api
+from lanelift.net.upstream import HANDSHAKE_S, Endpoint, Handshakes, Upstreams
+from tests.fakes import SETTINGS, deaf, run
+
+LIMIT_S = 5.0
+
+
+def test_before_any_came_up_the_limit_holds() -> None:
+    assert Handshakes(LIMIT_S).patience_s == LIMIT_S
+
+
+@pytest.mark.parametrize(("took_s", "least_s", "most_s"), [(0.0005, 0.03, 0.03), (0.1, 0.1, 0.4)])
+def test_patience_follows_what_handshakes_take(took_s: float, least_s: float, most_s: float) -> None:
+    handshakes = Handshakes(LIMIT_S)
+    for i in range(40):
+        handshakes.took(took_s * (0.9 + 0.2 * (i % 2)))
+    assert least_s <= handshakes.patience_s <= most_s
+
+
+def test_a_spread_that_grows_is_given_time_up_to_the_limit() -> None:
+    handshakes = Handshakes(0.25)
+    before = handshakes.patience_s
+    for took_s in (0.001, 0.02, 0.2, 0.2):
+        handshakes.took(took_s)
+        assert HANDSHAKE_S <= handshakes.patience_s <= before
+
+
+def test_what_does_not_connect_is_given_up_long_before_the_limit() -> None:
+    async def test() -> None:
+        upstreams = Upstreams(replace(SETTINGS.limits, connect_timeout_ns=60_000_000_000), 8, ())
+        upstreams.handshakes.took(0.001)  # others came up
+        ended = asyncio.get_running_loop().create_future()
+        with deaf() as address:
+            upstreams.learn([Endpoint(api.Upstream(1), *address)], True)
+            upstreams.send(1, b"GET / HTTP/1.1\r\n\r\n", None, lambda result, *_: ended.set_result(result))
+            assert await asyncio.wait_for(ended, LIMIT_S) is api.Result.CONNECT_FAILED  # and never ran
+        upstreams.close()
+
+    run(test())
--- a/tests/net/test_outcomes.py
+++ b/tests/net/test_outcomes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
@@ -17,7 +16,7 @@
 from lanelift.net.http import Connection, Exchange
 from lanelift.net.parse import Response, message
 from lanelift.net.upstream import read_report
-from tests.fakes import CLASSES, SETTINGS, Heard, answer, free_port, never, read_message, run, world
+from tests.fakes import CLASSES, SETTINGS, Heard, answer, deaf, free_port, never, read_message, run, world
 
 R = api.Result
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -142,22 +141,13 @@
 
 def test_a_connection_that_never_comes_up(heard: Heard) -> None:
     async def test() -> None:
-        # A listener whose backlog is full answers nothing to the next connection.
-        full = socket.socket()
-        full.bind(("127.0.0.1", 0))
-        full.listen(0)
-        waiting = [socket.socket() for _ in range(4)]
-        for sock in waiting:
-            sock.setblocking(False)
-            sock.connect_ex(full.getsockname())
         limits = replace(SETTINGS.limits, connect_timeout_ns=100_000_000)
-        async with world(settings=replace(SETTINGS, limits=limits)) as w:
-            w.upstreams[0].port = full.getsockname()[1]
-            await w.tell(w.upstreams[0].row())
-            assert (await w.ask("r1", "pay", "POST")).status == 503
-            assert heard.results() == [R.CONNECT_FAILED]
-        for sock in (full, *waiting):
-            sock.close()
+        with deaf() as address:
+            async with world(settings=replace(SETTINGS, limits=limits)) as w:
+                w.upstreams[0].port = address[1]
+                await w.tell(w.upstreams[0].row())
+                assert (await w.ask("r1", "pay", "POST")).status == 503
+                assert heard.results() == [R.CONNECT_FAILED]
 
     run(test())
 
