An upstream that moved further away is reached: patience doubles with each miss

Need: handshakes are learned from those that came up.

Change: each upstream counts its handshakes given up in a row and its patience doubles with each, up to the settings' limit (RFC 6298, 5.5); one that comes up clears it.

--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -22,6 +22,7 @@
 # A handshake that takes longer than this, and far longer than others, is of no use: a segment lost on the way
 # costs a second (RFC 6298, 2.1), and the request can go elsewhere, as nothing of it was written.
 HANDSHAKE_S = 0.03
+MOST_DOUBLED = 8  # 30 ms are 7.7 s by then: whatever the limit is holds
 LATE_S = 0.01  # a time-out that comes so late tells of this program's want of time, not of an upstream
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
 QUIET_S = 5.0  # between two lines about one and the same shortage
@@ -52,6 +53,7 @@
     idle: list[Connection] = field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
     keep: bool = True  # connections that come free are kept
+    missed: int = 0  # handshakes given up in a row
 
 
 class Handshakes:
@@ -69,11 +71,12 @@
             self.spread_s += (abs(seconds - self.mean_s) - self.spread_s) / 4
             self.mean_s += (seconds - self.mean_s) / 8
 
-    @property
-    def patience_s(self) -> float:
-        if self.mean_s is None:
+    def patience_s(self, missed: int) -> float:
+        """Doubled for each of an upstream's own that was given up since one came up (5.5): those that take
+        longer than all others teach nothing else, and must come up in the end."""
+        if self.mean_s is None or missed >= MOST_DOUBLED:
             return self.limit_s
-        return min(self.limit_s, max(HANDSHAKE_S, self.mean_s + 4 * self.spread_s))
+        return min(self.limit_s, max(HANDSHAKE_S, self.mean_s + 4 * self.spread_s) * 2.0**missed)
 
 
 class Upstreams:
@@ -203,7 +206,7 @@
     async def _connect(self, target: Target, exchange: Exchange) -> None:
         connection = Connection(lambda c: self._released(target, c), lambda c: self._lost(target, c))
         loop = asyncio.get_running_loop()
-        began, patience_s = loop.time(), self.handshakes.patience_s
+        began, patience_s = loop.time(), self.handshakes.patience_s(target.missed)
         try:
             async with asyncio.timeout(patience_s):
                 await loop.create_connection(
@@ -215,8 +218,10 @@
             # For want of descriptors or of time here no upstream is to blame.
             late = isinstance(error, TimeoutError) and loop.time() - began > patience_s + LATE_S
             here = late or (isinstance(error, OSError) and error.errno in NO_DESCRIPTOR)
+            target.missed = min(MOST_DOUBLED, target.missed + isinstance(error, TimeoutError))
             exchange.give_up(api.Result.MOOT if here else api.Result.CONNECT_FAILED)
             return
+        target.missed = 0
         self.handshakes.took(loop.time() - began)
         if connection.closed:
             exchange.give_up(api.Result.CONNECT_FAILED)
