--- a/benchmarks/cost.py
+++ b/benchmarks/cost.py
@@ -23,9 +23,9 @@
 
 import psutil
 
+from benchmarks.revisions import ROOT, revision
 from tests.fakes import Client, FakeDiscovery, FakeUpstream, free_port
 
-ROOT = Path(__file__).parent.parent
 UPSTREAMS, CLIENTS, PEERS = 8, 4, 40
 SETTINGS = {
     "profiles": [
@@ -105,13 +105,12 @@
 
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("--before", required=True, help="a revision of this repository")
+    parser.add_argument(
+        "--before", metavar="REV", type=revision, required=True, help="a revision of this repository"
+    )
     parser.add_argument("--rounds", type=int, default=7)
     parser.add_argument("--requests", type=int, default=1500)
     args = parser.parse_args()
-    known = ["git", "rev-parse", "-q", "--verify", f"{args.before}^{{commit}}"]
-    if subprocess.run(known, cwd=ROOT, stdout=subprocess.DEVNULL).returncode:
-        parser.error(f"--before: {args.before!r} is no revision of this repository")
     with tempfile.TemporaryDirectory() as name:
         folder, old = Path(name), Path(name) / "before"
         subprocess.run(
--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -19,15 +19,14 @@
 import tarfile
 import tempfile
 from collections.abc import Iterable
-from pathlib import Path
 from typing import Any
 
+from benchmarks.revisions import ROOT, revision
 from lanelift import interface as api
 from tests.decide.book import MS, SECOND, settings
 from tests.decide.day import Day
 from tests.decide.test_churn import Churn
 
-ROOT = Path(__file__).parent.parent
 TWO_CLASSES = {
     "quote": api.RequestClass("quote", aim_ns=150 * MS, deadline_ns=500 * MS),
     "pay": api.RequestClass("pay", api.Effect.UNSAFE, aim_ns=150 * MS, deadline_ns=500 * MS),
@@ -124,7 +123,7 @@
 
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
-    parser.add_argument("--before", metavar="REV", help="a revision to compare with")
+    parser.add_argument("--before", metavar="REV", type=revision, help="a revision to compare with")
     args = parser.parse_args()
     now = lines()
     print("\n".join(now))
--- a/lanelift/routes/expect.py
+++ b/lanelift/routes/expect.py
@@ -9,7 +9,7 @@
 
 import functools
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -94,17 +94,6 @@
         return f"line {self.line}: {self.text}"
 
 
-@dataclass(slots=True)
-class _Filters:
-    host: str = ""
-    wildcard: bool = False
-    segments: tuple[str, ...] = ()
-    exact: bool = True
-    method: str = ""
-    headers: dict[str, str] = field(default_factory=dict)
-    tenant: str = ""
-
-
 @functools.cache
 def _grammar() -> Lark:
     text = Path(__file__).with_name("expect.lark").read_text(encoding="utf-8")
@@ -192,28 +181,21 @@
         return self._subject(str(name), filters)
 
     def _subject(self, class_name: str, filters: Sequence[tuple[str, Any]]) -> Subject:
-        f, said = _Filters(exact=False), set()
-        for what, value in filters:
-            if what in said and what != "header":
-                raise ValueError(f"{what} is said twice")
-            said.add(what)
-            if what == "host":
-                f.host, f.wildcard = value
-            elif what == "path":
-                f.segments, f.exact = value
-            elif what == "header":
-                f.headers[value[0]] = value[1]
-            else:
-                setattr(f, what, value)
-        return Subject(
-            class_name, Region(f.host, f.wildcard, f.segments, f.exact, f.method, f.headers, f.tenant)
-        )
+        region: dict[str, Any] = {}
+        headers: dict[str, str] = {}
+        for what, parts in filters:
+            said, found = (headers, "header") if what == "header" else (region, what)
+            if said.keys() & parts.keys():
+                raise ValueError(f"{found} is said twice")
+            said.update(parts)
+        return Subject(class_name, Region(**region, headers=headers))
 
     def host(self, value: Token) -> tuple[str, Any]:
         try:
-            return "host", _host(_text(value))
+            name, wildcard = _host(_text(value))
         except Ambiguous as error:
             raise ValueError(str(error)) from None
+        return "host", {"host": name, "wildcard": wildcard}
 
     def path(self, value: Token) -> tuple[str, Any]:
         text = _text(value)
@@ -224,16 +206,16 @@
             raise ValueError(
                 f'{error}; allowed: a path like "/v1/fee-quote", or "/v1/*" for all below'
             ) from None
-        return "path", (segments[:-1] if below else segments, not below)
+        return "path", {"segments": segments[:-1] if below else segments, "exact": not below}
 
     def tenant(self, value: Token) -> tuple[str, Any]:
-        return "tenant", _text(value)
+        return "tenant", {"tenant": _text(value)}
 
     def header(self, name: Token, value: Token) -> tuple[str, Any]:
-        return "header", (str(name).lower(), _text(value))
+        return "header", {str(name).lower(): _text(value)}
 
     def method(self, value: Token) -> tuple[str, Any]:
-        return "method", str(value)
+        return "method", {"method": str(value)}
 
     def when(self, *conditions: tuple[str, Any]) -> Conditions:
         zones: set[str] = set()
--- a/tests/routes/test_check.py
+++ b/tests/routes/test_check.py
@@ -144,6 +144,7 @@
         ("fee-quote from a..b has no route", "not a name"),
         ("fee-quote has at least 101% of its boxes", "0 to 100"),
         ("fee-quote by ash by birch has no route", "said twice"),
+        ('fee-quote with x="1" with X="2" has no route', "header is said twice"),
         ("a: fee-quote has no route\na: fee-quote has no route", "stands in line 1 too"),
         ("fee-quote when pool main is short and pool main is well has no route", "at once"),
     ],
