--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -20,8 +20,8 @@
 # copy or noise, would answer the next request. What was written together is seen within this time.
 SETTLE_S = 0.002
 # A request waits no longer than this for its handshake, unless others take as long: a segment lost on the way
-# costs a second (RFC 6298, 2.1), and the request can go elsewhere, as nothing of it was written. The handshake
-# goes on to the settings' limit: one that comes up late is learned from, and its connection is kept.
+# costs a second (RFC 6298, 2.1), and the request can go elsewhere, as nothing of it was written. The
+# handshake goes on to the settings' limit: what comes up late is learned from, and its connection is kept.
 HANDSHAKE_S = 0.03
 LATE_S = 0.01  # a time-out that comes so late tells of this program's want of time, not of an upstream
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
