Discovery: silent watches, moves during an outage and resets are met at once

Each has a test over real connections, seen to fail on the code before (the list it waits for never came).

- Asked discovery, a watch that fell silent (_watch): 4.5 s until it is seen, then the module's wait of 0.5 to 1.5 s as for discovery that is down: 6.0 s before the list is even asked for, and 6 s is when the change counts.
A call without an answer is told from one that was ended (`Silent`): the watch is opened anew within 0.25 s; the sum stands in the code and in the test.
- Asked discovery that moved (SIGHUP) while the old one was down (`move`): the watch had ended, so the new address was asked only when the module's wait was over, up to 8 s; what is there counts 4 s after SIGHUP.
Now it is asked at once.
- Pushed lists: a watch that was reset was opened anew after up to 0.25 s, half of the least grace; what the agent has counts at once.
Now after 20 ms, where the watch had been answered before.

--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -22,8 +22,10 @@
 log = logging.getLogger(__name__)
 
 # Of a call: how long it may wait for news, and how long after that its answer may take. What discovery has to
-# tell counts as told 6 s later, or 2 s after a call's wait is over: a watch that fell silent is given up long
-# before. An agent on this machine answers at once and at no cost; discovery that is asked works for all.
+# tell counts as told 6 s after a watch fell silent, at the least. At the longest, wait and answer go by until
+# that is seen (pushed: 1.5 s; asked: 4.5 s), then up to `AGAIN_S`, and a call for the whole list: 1.25 s are
+# left for its answer where discovery is asked. An agent on this machine answers at once and at no cost;
+# discovery that is asked works for all.
 PUSHED, ASKED = (1_000, 0.5), (3_000, 1.5)
 CALL_S = 2.5  # for the whole list, which does not wait
 # An agent is silent while discovery is down; what it gets at the return counts as told at once, and calls
@@ -46,6 +48,11 @@
     """A call failed: discovery is down, or said what can't be read."""
 
 
+class Silent(Unanswered):
+    """A call had no answer in its time. Discovery that is down ends its calls: this one may run, and the
+    watch be broken."""
+
+
 def number_of(name: str) -> int:
     """An upstream's id as the number that the module knows it by: the same on every balancer."""
     return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
@@ -124,7 +131,7 @@
         self.address = address
         self.version = -1
         self._drop()
-        if self.watching is not None and not self.watching.done():
+        if self.watching is not None:  # also where its end was told: the module may wait for seconds yet
             self.subscribe(True)
         if self.fetching is not None and not self.fetching.done():
             self.fetching.cancel()
@@ -145,19 +152,23 @@
         """Without a gap: each call follows on the answer before it. After one, the whole list comes first."""
         hold_ms, answer_s = PUSHED if self.push else ASKED
         while True:
+            begun = answered = False
             try:
                 await (self._reach() if self.push else self._call(WHOLE, CALL_S))
+                begun = True
                 while True:
                     await asyncio.sleep(PACE_S)
                     await self._call(b"%b?from=%d&hold_ms=%d" % (WHOLE, self.version, hold_ms),
                                      hold_ms / 1000 + answer_s)
+                    answered = True
             except Exception as error:
                 # The old list stands.
                 self._failed(error)
-                if not self.push:
+                if not self.push and not (begun and isinstance(error, Silent)):
                     self.driver.learn(api.ListKind.FAILED, [])  # the module says when to ask again
                     return
-                await asyncio.sleep(self.rng.uniform(0.0, AGAIN_S))
+                # What an agent has counts already, so a watch that has worked is opened anew at once.
+                await asyncio.sleep(PACE_S if self.push and answered else self.rng.uniform(0.0, AGAIN_S))
 
     async def _reach(self) -> None:
         """Ask the agent for the whole list until it answers."""
@@ -264,6 +275,8 @@
             result, response = await answer
         finally:
             exchange.give_up(api.Result.CANCELLED)
+        if result is api.Result.TIMEOUT:
+            raise Silent("no answer in time")
         if response is None:
             raise Unanswered(f"no answer: {result.value}")
         return response
--- a/tests/net/test_upstreams.py
+++ b/tests/net/test_upstreams.py
@@ -25,11 +25,13 @@
     SECOND,
     SETTINGS,
     TEST_S,
+    FakeDiscovery,
     FakeUpstream,
     Heard,
     Message,
     answer,
     never,
+    puppet,
     run,
     world,
 )
@@ -266,6 +268,84 @@
     run(test())
 
 
+def obeying_nobody(monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    """A module that subscribes once and says no more: what else is asked, the balancer asks by itself."""
+    asked: list[api.Event] = []
+
+    def acts(event: api.Event, _: int) -> list[api.Action]:
+        asked.append(event)
+        return [api.Subscribe(True)] if len(asked) == 1 else []
+
+    puppet(monkeypatch, heard, acts)
+
+
+ASKED = replace(SETTINGS, discovery_push=False)
+
+
+def test_a_watch_that_fell_silent_where_discovery_is_asked_is_opened_anew_at_once(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    """The module would wait for up to 1.5 s, as for discovery that is down, and the change count by then."""
+    hold_ms, answer_s = discovery.ASKED
+    assert hold_ms / 1000 + answer_s + discovery.AGAIN_S + 1.25 <= 6
+    monkeypatch.setattr(discovery, "ASKED", (100, 0.1))
+    obeying_nobody(monkeypatch, heard)
+
+    async def test() -> None:
+        async with world(2, settings=ASKED) as w:
+            await w.watching()
+            w.discovery.rows.pop(0)
+            w.discovery.version += 1  # and the watch that is held hears nothing of it
+            await heard.until(lambda: any(len(e.upstreams) == 1 for e in heard.of(api.ListUpdate)))
+            assert all(e.kind is not api.ListKind.FAILED for e in heard.of(api.ListUpdate))
+
+    run(test())
+
+
+def test_discovery_that_has_moved_is_asked_at_once_though_the_old_one_was_given_up(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    """The module waits for seconds before it asks one that is down: not for the new one."""
+    obeying_nobody(monkeypatch, heard)
+    watchers: list[discovery.Discovery] = []
+    start = discovery.Discovery.start
+
+    def seen(watcher: discovery.Discovery, known: Any) -> None:
+        watchers.append(watcher)
+        start(watcher, known)
+
+    monkeypatch.setattr(discovery.Discovery, "start", seen)
+
+    async def test() -> None:
+        async with world(settings=ASKED) as w:
+            await w.watching()
+            w.discovery.down = True
+            w.discovery.close_links()
+            await heard.until(lambda: any(e.kind is api.ListKind.FAILED for e in heard.of(api.ListUpdate)))
+            new = FakeDiscovery([w.upstreams[0].row("Terminating")])
+            await new.start()
+            watchers[0].move(new.where)
+            await heard.until(lambda: heard.of(api.ListUpdate)[-1].kind is api.ListKind.FULL
+                              and heard.of(api.ListUpdate)[-1].upstreams[0].state is api.State.DRAINING)
+            new.stop()
+
+    run(test())
+
+
+def test_a_watch_of_an_agent_that_is_reset_is_opened_anew_at_once(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    """What the agent has counts as told, whether or not a watch is open."""
+    async def test() -> None:
+        async with world() as w:
+            await w.watching()
+            monkeypatch.setattr(discovery, "AGAIN_S", 1e6)
+            await w.tell(w.upstreams[0].row())  # the watch has been answered once
+            w.discovery.close_links()
+            w.discovery.change(w.upstreams[0].row("Terminating"))
+            await heard.until(lambda: any(
+                u.state is api.State.DRAINING for e in heard.of(api.ListUpdate) for u in e.upstreams))
+
+    run(test())
+
+
 def test_a_list_entry() -> None:
     now_ms = time.time_ns() // 1_000_000
     row = {"id": "s-5be2a07c", "addr": "127.0.0.9:8000", "state": "Ready", "started_ms": now_ms - 5000}
