Rare moments: full backlogs at SIGTERM, ends over unread bytes, connections found dead

- frontend.py _stop: one look at the backlog, then the listener was closed: with all places or descriptors taken who waited there was reset.
Now it closes once nobody waits, and who is at rest makes room.
- frontend.py _leave: a last answer's connection was closed where nothing had been parsed: over bytes that are unread, or come then, that is a reset.
- frontend.py _answered: an evacuated balancer kept a connection whose answer had begun before.
- __main__.py: SIGTERM between listen() and its handler ended the process over who had connected.
- upstream.py _idle: a FIN, a reset or noise that lay unread on a resting connection was not seen, and the request given away.
- driver.py _end: of an attempt whose upstream takes no more, the rest was written when its client had long left.
- driver.py arrive: who found max_open reached was refused without Retry-After.

Test replaced: with ROOM patched to idle clients alone, clients that never close their side held each place for the whole second; the patch keeps the real row for those that leave. It still fails where answers end no connection.

--- a/lanelift/__main__.py
+++ b/lanelift/__main__.py
@@ -190,7 +190,9 @@
     tenants = config.tenants.attach(driver) if config.tenants is not None else None
     if tenants is not None:
         tenants.start()
-    frontend = Frontend(driver, listener, clients, Lifecycle(shared=config.inherited is not None))
+    for number in (signal.SIGTERM, signal.SIGINT):  # first: from the next line on clients wait to be answered
+        loop.add_signal_handler(number, lambda: frontend.drain())
+    frontend: Frontend = Frontend(driver, listener, clients, Lifecycle(shared=config.inherited is not None))
     succession = None
     folder = os.environ.get(FOLDER)
     if config.inherited is not None and folder:
@@ -206,8 +208,6 @@
     operator = Operator(driver, frontend, fleet) if operators is not None else None
     if operator is not None and operators is not None:
         await operator.listen(operators)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, frontend.drain)
     loop.add_signal_handler(signal.SIGHUP, Reloader(config, discovery, tenants, read).reload)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     gc.collect()
--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import math
+import random
 import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -24,6 +25,7 @@
 log = logging.getLogger(__name__)
 
 MAX_TOLD = 256  # messages of others that may wait for an event: some seconds' worth, a few tens of kB
+MAX_BACK_NS = 1_000_000_000  # the longest that the one who finds all places taken is asked to stay away
 OVERDUE_S = 0.008  # after its deadline a request that the module has not ended is ended here
 
 
@@ -117,6 +119,7 @@
         self.peers: Peers | None = None
         self.loop = asyncio.get_running_loop()
         self.balancer = Balancer(settings, seed, time.monotonic_ns())
+        self.rng = random.Random(seed)
         self.requests: dict[str, OpenRequest] = {}
         self.open = 0  # requests that are owed an answer
         self.figures = Figures(settings.classes)
@@ -176,17 +179,19 @@
         if len(self.told) == MAX_TOLD and not self.waiting:  # once: else a hand-over is under way already
             self.loop.call_soon(self._hand_over)
 
-    def arrive(self, request: OpenRequest) -> bool:
-        """Take a client's request; False if it can't be taken, and the caller answers."""
-        if self.open >= self.settings.limits.max_open:
+    def arrive(self, request: OpenRequest) -> None:
+        """Take a client's request. Where too many are open it is refused at once, and never the module's."""
+        limits = self.settings.limits
+        if self.open >= limits.max_open:
             self.figures.ended[request.arrival.class_name][THROTTLED] += 1
-            return False
+            back = self.rng.uniform(0.25, 1.0) * min(limits.max_retry_after_ns, MAX_BACK_NS)
+            request.client.refused(int(back) if limits.retry_after else 0)
+            return
         self.requests[request.arrival.request] = request
         self.open += 1
         if not request.arrival.coming:
             self._due(request)
         self.post(request.arrival)
-        return True
 
     def _due(self, request: OpenRequest) -> float:
         """Its time runs: how many seconds are left."""
@@ -211,11 +216,9 @@
     def client_gone(self, request: OpenRequest) -> None:
         if self._end(request):
             self.post(api.ClientGone(request.arrival.request))
-        # The rest of its body will never come, or that of its answer be passed on.
-        if request.passing is not None or (request.upload is not None and not request.upload.whole):
-            for exchange in request.attempts:
-                if exchange is not None:
-                    exchange.give_up(api.Result.CANCELLED)
+        for exchange in request.attempts:
+            if exchange is not None and exchange.begun:  # the rest of its answer is passed on to nobody
+                exchange.give_up(api.Result.CANCELLED)
 
     def learn(self, kind: api.ListKind, endpoints: list[Endpoint]) -> None:
         if kind is not api.ListKind.FAILED:
@@ -402,8 +405,8 @@
             ended(api.Result.CONNECT_FAILED, None)
 
     def _end(self, request: OpenRequest) -> bool:
-        """Mark a request as over; False if it was already. What of it waits for a connection is not sent any
-        more: to call that off, the settings need allow nothing."""
+        """Mark a request as over; False if it was already. What has not been written to its last byte is not
+        sent any more: it never ran, so to call that off the settings need allow nothing."""
         if request.over:
             return False
         request.over = True
@@ -411,8 +414,8 @@
         if request.overdue is not None:
             request.overdue.cancel()
         for exchange in request.attempts:
-            if exchange is not None and exchange.connection is None:
-                exchange.give_up(api.Result.MOOT)
+            if exchange is not None and not exchange.written:
+                exchange.give_up(api.Result.MOOT if exchange.connection is None else api.Result.CANCELLED)
         return True
 
     def _forget(self, name: str) -> None:
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from collections.abc import Mapping
+from contextlib import suppress
 from enum import Enum
 from typing import cast
 from urllib.parse import parse_qs
@@ -78,8 +79,10 @@
         self.waiting: dict[Phase, dict[ClientConnection, float]] = {phase: {} for phase in Phase}
         self.timer: asyncio.TimerHandle | None = None
         self.opening: set[asyncio.Task[None]] = set()  # kept, or they may be collected
+        self.emptied = False  # and have been: what comes to rest from now on is ended
         self.drained = asyncio.Event()  # SIGTERM has come
         self.ends_s = math.inf  # and when the process ends at the latest, on the loop's clock
+        self.stopping = False  # the listener closes as soon as nobody waits in its backlog
         self.closed = False
         self.left = asyncio.Event()  # nothing is open any more
         listener.setblocking(False)
@@ -93,35 +96,41 @@
         return self.lifecycle.stage is Stage.LEAVING
 
     def _listen(self) -> None:
-        if (not self.listening and not self.closed and self.driver.list_awaited is None
+        if self.stopping:
+            self.loop.call_soon(self._stop)  # there may be a place for who still waits
+        elif (not self.listening and not self.closed and self.driver.list_awaited is None
                 and self.lifecycle.takes(self.driver.ready)):
             self.listening = True
             self.loop.add_reader(self.listener, self._accept)
 
     def _pause(self, seconds: float | None = None) -> None:
         """Stop accepting: for so long, or until a connection comes to rest or ends."""
+        paused = self.listening or self.stopping
         if self.listening:
             self.listening = False
             self.loop.remove_reader(self.listener)
-            if seconds is not None:
-                self.loop.call_later(seconds, self._listen)
+        if paused and seconds is not None:
+            self.loop.call_later(seconds, self._listen)
 
-    def _accept(self) -> None:
-        """Take what waits. At the cap, connections without a request make room; if none can yet, the backlog
-        holds the newcomers: one that was accepted is owed an answer, so none is taken to be dropped."""
+    def _accept(self) -> bool:
+        """Take what waits; True where nobody waits any more. At the cap, connections without a request make
+        room; if none can yet, the backlog holds the newcomers: one that was accepted is owed an answer, so
+        none is taken to be dropped."""
         if len(self.clients) >= self.max_clients:
             self._room()
-            return
+            return False
         # No further than to the cap: whether anybody waits beyond it is seen next turn.
         for _ in range(self.max_clients - len(self.clients)):
             try:
                 sock, _ = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionAbortedError):
+                continue
             except OSError as error:  # out of descriptors: a later connection's end makes room
                 log.error("accept: %s", error)
                 self._pause(0.05)
-                return
+                return False
             if received(sock)[0]:
                 sock.close()  # it gave up while it waited here: nobody would read an answer
                 continue
@@ -133,6 +142,7 @@
             task = self.loop.create_task(self._open(client, sock))
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
+        return False
 
     def _room(self) -> None:
         """At the cap: end one that has no request open. Its place is free on the loop's next turn, which
@@ -221,6 +231,7 @@
         if self.emptying is not None:
             self.emptying.cancel()
             self.emptying = None
+        self.emptied = False
         log.info("rejoined")
         return True
 
@@ -233,13 +244,21 @@
             self.loop.call_later(NEWCOMERS_S, self._stop)
 
     def _stop(self) -> None:
-        self._accept()  # what is in the backlog was taken: it is not reset by closing the listener
-        self._pause()
-        self.closed = True
-        self.listener.close()
-        self.loop.call_later(0.02, self._close_idle)
+        """Close the listener once nobody waits in its backlog, however long all places or descriptors are
+        taken: who waits there was taken, and would be reset by it."""
+        if self.closed:
+            return
+        if not self.stopping:
+            self._pause()
+            self.stopping = True
+            self.loop.call_later(0.02, self._close_idle)
+        if self._accept():
+            self.closed = True
+            self.listener.close()
+            self.loop.call_later(0.02, self._close_idle)
 
     def _close_idle(self) -> None:
+        self.emptied = True
         for phase in (Phase.NEW, Phase.IDLE):
             for client in list(self.waiting[phase]):
                 if not client.has_data and not unread(client.transport):
@@ -473,8 +492,7 @@
             self._body()
         else:
             self.frontend.busy(self)
-        if not self.driver.arrive(request):
-            self.refused(0)
+        self.driver.arrive(request)
 
     def _arrival(self, head: Request, headers: Mapping[bytes, bytes], path: str, query: str,
                  coming: bool) -> api.Arrival:
@@ -589,9 +607,9 @@
             self._answered()
 
     def _answered(self) -> None:
-        # An answer whose head was written before SIGTERM did not say that it is the last: it is, if nothing
-        # has come behind it. Kept open, the connection would bring requests up to the process's end.
-        if self.last or (self.frontend.closed and not self.has_data and not unread(self.transport)):
+        # An answer whose head was written before the end began did not say that it is the last: it is, if
+        # nothing has come behind it. Kept open, the connection would bring requests up to the process's end.
+        if self.last or (self.frontend.emptied and not self.has_data and not unread(self.transport)):
             self._leave()
             return
         self.frontend.wait(self, Phase.IDLE)
@@ -599,15 +617,14 @@
             self.frontend.loop.call_soon(self._parse)
 
     def _leave(self) -> None:
-        """End the connection once its answer has been read. Closing it with unread bytes in hand would reset
-        it and take the answer along: then only the sending ends, and what comes is not looked at."""
+        """End the connection once its answer has been read. Closing it over bytes that are unread, or come in
+        this very moment, would reset it and take the answer along: only the sending ends, and what comes is
+        not looked at (RFC 9112, 9.6)."""
         self.lingering = True
         if self.transport is None or self.transport.is_closing():
             return
         self.frontend.wait(self, Phase.LEAVING)
-        if not self.has_data and self.reader.fault is None:
-            self.transport.close()
-        elif self.transport.can_write_eof():
+        with suppress(OSError):  # it is broken, and that is told on the next turn
             self.transport.write_eof()
 
     def _write(self, data: bytes | None) -> None:
--- a/lanelift/net/kernel.py
+++ b/lanelift/net/kernel.py
@@ -48,6 +48,12 @@
     return count[0] > 0
 
 
+def at_rest(transport: asyncio.BaseTransport) -> bool:
+    """Has nothing come on this connection since it was last read, no byte and no end? The loop tells of both
+    on its next turn: what is written before that may be lost, and may be answered by what lies there."""
+    return not received(transport.get_extra_info("socket"))[0] and not unread(transport)
+
+
 def bound_buffers(transport: asyncio.BaseTransport) -> None:
     """Bound what the kernel holds of a connection in each direction: left to itself it lets that grow to some
     megabytes, which many long answers would fill at once."""
--- a/lanelift/net/upstream.py
+++ b/lanelift/net/upstream.py
@@ -11,7 +11,7 @@
 
 from lanelift import interface as api
 from lanelift.net.http import Connection, Exchange, Passing, Upload
-from lanelift.net.kernel import unread
+from lanelift.net.kernel import at_rest
 from lanelift.net.parse import Headers, Response, message
 
 log = logging.getLogger(__name__)
@@ -208,9 +208,9 @@
                 if connection is not target.idle[0] or not (probe or repeats):
                     continue
                 exchange.doubtful_s = 0.0 if probe else settled_s
-            if connection.transport is not None and not connection.transport.is_closing() and not (
-                    now < settled_s + SETTLE_S and unread(connection.transport)):
-                target.idle.remove(connection)  # and nothing lies there that a late loop has not read
+            transport = connection.transport
+            if transport is not None and not transport.is_closing() and at_rest(transport):
+                target.idle.remove(connection)
                 return connection
         return None
 
--- a/tests/net/test_frontend.py
+++ b/tests/net/test_frontend.py
@@ -124,7 +124,8 @@
         settings = replace(SETTINGS, limits=replace(SETTINGS.limits, max_open=1))
         async with world(settings=settings) as w:
             client = await w.held("r1")
-            assert (await w.ask("r2")).status == 503
+            got = await w.ask("r2")
+            assert got.status == 503 and 0 < float(got.headers["retry-after"]) <= 1
             client.close()
 
     run(test())
@@ -191,7 +192,8 @@
 
 def test_with_all_places_taken_an_answer_ends_its_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     # Idle connections are left their 2 s: with more clients than places, each newcomer waited for that.
-    monkeypatch.setattr(frontend, "ROOM", ((Phase.IDLE, 1000.0),))
+    leaving, = (row for row in frontend.ROOM if row[0] is Phase.LEAVING)
+    monkeypatch.setattr(frontend, "ROOM", (leaving, (Phase.IDLE, 1000.0)))
 
     async def test() -> None:
         async with world(sockets=RESERVE + 2 * 2) as w:
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -26,6 +26,7 @@
     TEST_S,
     FakeUpstream,
     Heard,
+    Puppet,
     World,
     answer,
     never,
@@ -132,6 +133,42 @@
     run(test())
 
 
+def test_a_request_whose_client_leaves_while_its_upstream_takes_no_more_never_gets_there_whole(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    """Its last byte has not been written: it never ran, so ending it calls nothing off."""
+    made = Connection.connection_made
+
+    def narrow(connection: Connection, transport: asyncio.BaseTransport) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        made(connection, transport)
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as busy:
+            busy.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            busy.bind(("127.0.0.1", 0))
+            busy.listen()
+            busy.setblocking(False)
+            async with world(settings=PATIENT) as w:
+                w.upstreams[0].port = busy.getsockname()[1]
+                await w.tell(w.upstreams[0].row())
+                monkeypatch.setattr(Connection, "connection_made", narrow)
+                client = await w.client()
+                client.send("r1", "pay", "POST", b"x" * MAX_BODY)
+                taken, _ = await loop.sock_accept(busy)
+                with taken:
+                    came = await loop.sock_recv(taken, 1)
+                    client.close()
+                    await heard.until(lambda: heard.of(api.ClientGone) and heard.of(api.Outcome))
+                    with suppress(ConnectionError):
+                        while data := await loop.sock_recv(taken, 65536):
+                            came += data
+                    assert len(came) < MAX_BODY
+                    assert heard.results() == [R.CANCELLED]
+
+    run(test())
+
+
 # ---- a drain that is told while a request waits -----------------------------------------------------------
 
 
@@ -155,6 +192,55 @@
     run(test())
 
 
+# ---- connections that end while they are taken ------------------------------------------------------------
+
+@pytest.mark.usefixtures("settled")
+@pytest.mark.parametrize("comes", ["end", "noise"])
+def test_a_connection_to_which_something_came_in_the_turn_in_which_it_is_taken_is_not_used(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard, comes: str) -> None:
+    """The loop has not read it yet. A request written there is lost, and may not be sent again."""
+    async def test() -> None:
+        async with world(settings=PATIENT) as w:
+            box = w.upstreams[0]
+
+            def acts(event: api.Event, to: int) -> list[api.Action]:
+                if not isinstance(event, api.Arrival):
+                    return []
+                if event.request == "r2":
+                    transport = box.links[0].transport
+                    assert transport is not None
+                    if comes == "end":
+                        transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
+                    else:
+                        transport.write(b"x" * 200)  # at once: its buffer is empty
+                return [api.Send(event.request, to)]
+
+            monkeypatch.setattr(Puppet, "acts", staticmethod(lambda event: acts(event, number_of("s-0"))))
+            assert (await w.ask("r1", "pay", "POST", b"x")).status == 200
+            assert (await w.ask("r2", "pay", "POST", b"x")).status == 200
+            assert [m.link for m in box.seen] == [1, 2] and heard.results() == [R.OK, R.OK]
+
+    puppet(monkeypatch, heard, lambda event, to: [])
+    run(test())
+
+
+def test_a_request_of_which_no_byte_could_be_written_never_ran() -> None:
+    """The connection was reset after it was looked at, and before the write: that fails at once."""
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        ended: asyncio.Future[api.Result] = loop.create_future()
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            connection = Connection(lambda c: None, lambda c: None)
+            await loop.create_connection(lambda: connection, *listener.getsockname())
+            server, _ = listener.accept()
+            server.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            server.close()
+            connection.start(Exchange(b"GET / HTTP/1.1\r\n\r\n", lambda r, _: ended.set_result(r)))
+            assert await ended is R.CONNECT_FAILED
+
+    run(test())
+
+
 # ---- two attempts of one request --------------------------------------------------------------------------
 
 
@@ -229,11 +315,12 @@
 
 
 @pytest.mark.parametrize(
-    "begins", [CHUNKED + b"3\r\none\r\n", CHUNKED, CLOSES + b"one", CHUNKED + b"7d0\r\n" + b"x" * 2000])
+    "begins", [CHUNKED + b"3\r\none\r\n", CHUNKED, CLOSES + b"one", CHUNKED + b"7d0\r\n" + b"x" * 2000,
+               b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\none"])
 @pytest.mark.parametrize("may_cancel", [True, False])
 def test_an_answer_that_never_ends_is_cut_when_it_is_owed(
         monkeypatch: pytest.MonkeyPatch, heard: Heard, begins: bytes, may_cancel: bool) -> None:
-    """It does not tell its length, and is passed on as a long one would be."""
+    """It does not tell its length, or a great one, and is passed on as a long one would be."""
     monkeypatch.setattr(http, "SILENT_S", 2 * TEST_S)
     assert 2 * http.OWED_S < 0.5  # in which an answer that is late still counts as one
 
