--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -107,10 +107,6 @@
         self.driver.attempt_ended(self, result, response, report)
 
 
-def _latin_1(value: bytes) -> str:
-    return value.decode("latin-1")
-
-
 class Driver:
     def __init__(self, settings: api.Settings, seed: int, upstreams: Upstreams) -> None:
         self.settings = settings
@@ -127,7 +123,7 @@
         self.waiting: list[api.Event] = []
         self.told: list[api.Event] = []  # by other balancers, since the last hand-over
         self.timer: asyncio.TimerHandle | None = None
-        self.tenant_name: Callable[[bytes], str] = _latin_1  # what an X-Tenant names
+        self.tenant_name: Callable[[str], str] = str  # what an X-Tenant names
         self.tenants_awaited = False  # it is to wait for a directory before it serves
         self.list_awaited: asyncio.TimerHandle | None = None  # and for discovery, until then
 
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -11,7 +11,7 @@
 from contextlib import suppress
 from enum import Enum
 from typing import cast
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, unquote
 
 from lanelift import interface as api
 from lanelift.lifecycle import LAST_S, LEAVE_S, NEWCOMERS_S, Lifecycle, Stage
@@ -27,6 +27,7 @@
     Unacceptable,
     message,
     status_line,
+    text,
 )
 
 log = logging.getLogger(__name__)
@@ -497,8 +498,8 @@
     def _arrival(self, head: Request, headers: Mapping[bytes, bytes], path: str, query: str,
                  coming: bool) -> api.Arrival:
         settings = self.driver.settings
-        first = path.strip("/").partition("/")[0]
-        name = headers.get(b"x-class", first.encode("latin-1")).decode("latin-1")
+        first = unquote(path.strip("/").partition("/")[0])
+        name = text(headers[b"x-class"]) if b"x-class" in headers else first
         if first not in settings.classes or name not in settings.classes:
             raise Unacceptable(404, "no such class")
         if b"host" not in headers:
@@ -524,7 +525,7 @@
             deadline = min(deadline, time.monotonic_ns() + int(left_s * 1e9))
         key = parse_qs(query).get("obj", [""])[0] if "obj=" in query else ""
         return api.Arrival(
-            request, name, self.driver.tenant_name(headers.get(b"x-tenant", b"")),
+            request, name, self.driver.tenant_name(text(headers.get(b"x-tenant", b""))),
             deadline, _whole_number(headers, b"x-cost-hint", 0) * US, key,
             headers.get(b"x-retry") == b"1", self.asked_ns, coming)
 
@@ -633,9 +634,9 @@
 
 
 def _whole_number(headers: Mapping[bytes, bytes], name: bytes, default: int) -> int:
-    text = headers.get(name)
-    if text is None:
+    value = headers.get(name)
+    if value is None:
         return default
-    if not text.isdigit() or len(text) > 15:
+    if not value.isdigit() or len(value) > 15:
         raise Unacceptable(400, f"{name.decode()} is not a whole number")
-    return int(text)
+    return int(value)
--- a/lanelift/net/parse.py
+++ b/lanelift/net/parse.py
@@ -325,6 +325,14 @@
         return Response(self.parser.get_status_code(), head.headers, body, keep)
 
 
+def text(value: bytes) -> str:
+    """What a header's value says: UTF-8, or else Latin-1, of which any byte is some."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
+
+
 def status_line(status: int) -> bytes:
     return b"HTTP/1.1 %d %b" % (status, HTTPStatus(status).phrase.encode())
 
--- a/lanelift/tenants/feed.py
+++ b/lanelift/tenants/feed.py
@@ -21,7 +21,7 @@
 from lanelift import interface as api
 from lanelift.net.driver import Driver
 from lanelift.tenants.job import Job
-from lanelift.tenants.names import from_header
+from lanelift.tenants.names import folded
 
 log = logging.getLogger(__name__)
 
@@ -55,7 +55,7 @@
         self.complete = False
         self.frozen = False
         self.readings = 0  # lines that told of tenants
-        driver.tenant_name = from_header
+        driver.tenant_name = folded
 
     def start(self) -> None:
         loop = asyncio.get_running_loop()
--- a/lanelift/tenants/names.py
+++ b/lanelift/tenants/names.py
@@ -13,12 +13,3 @@
         text = unicodedata.normalize("NFKC", unicodedata.normalize("NFKC", text).casefold())
         return " ".join(unicodedata.normalize("NFKC", text.casefold()).split())
     return " ".join(text.lower().split())
-
-
-def from_header(value: bytes) -> str:
-    """The folded name that a request's `X-Tenant` gives: UTF-8, or else Latin-1, of which any byte is
-    some."""
-    try:
-        return folded(value.decode())
-    except UnicodeDecodeError:
-        return folded(value.decode("latin-1"))
--- /dev/null
+++ b/tests/decide/test_side_by_side.py
@@ -0,0 +1,56 @@
+"""Balancers with different settings in one process: each decides as it would alone."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from lanelift import interface as api
+from tests.decide.book import MS, SECOND, settings
+from tests.decide.day import Day
+
+HERE = settings(
+    classes={"quote": api.RequestClass("quote", aim_ns=100 * MS, deadline_ns=400 * MS)},
+    limits=api.Limits(max_attempts=3, may_cancel=True, peers=True),
+    replicas_of_me=6,
+)
+# The same names with another meaning: effect, times, limits, price of a look, a tenant's share.
+THERE = settings(
+    classes={"quote": api.RequestClass("quote", api.Effect.UNSAFE, aim_ns=900 * MS, deadline_ns=3 * SECOND)},
+    tenants={"ash": api.Tenant("ash", 0.1), "elm": api.Tenant("elm", 0.9)},
+    limits=api.Limits(max_attempts=1, probes=True),
+    report_columns=("inflight",),
+    rules=api.Rules(cold_ns=4 * SECOND, fall_multiple=2.0),
+    replicas_of_me=2,
+)
+STEP, STEPS = SECOND // 20, 100
+
+
+def day(config: api.Settings, seed: int) -> Day:
+    made, rng, now = Day(config, 8, seed), random.Random(seed), 0.0
+    while now < 4:
+        now += rng.expovariate(150)
+        who = rng.choice(("ash", "elm", "nobody"))
+        made.arrive(int(now * SECOND), who, int(rng.lognormvariate(3.5, 0.6) * MS), "quote", 400 * MS,
+                    rng.randrange(config.replicas_of_me))
+    return made
+
+
+def outcome(played: Day) -> tuple[list[tuple[int, int, int]], Counter[tuple[str, str]], int]:
+    return played.sends, played.answers, played.messages
+
+
+def test_two_customers_in_one_process_decide_as_each_does_alone() -> None:
+    alone = []
+    for config, seed in ((HERE, 3), (THERE, 4)):
+        one = day(config, seed)
+        for step in range(STEPS):
+            one.play(step * STEP)
+        alone.append(outcome(one))
+    both = [day(HERE, 3), day(THERE, 4)]
+    for step in range(STEPS):
+        for one in both:
+            one.play(step * STEP)
+    assert [outcome(one) for one in both] == alone
+    assert all(len(sends) > 200 for sends, _, _ in alone)
+    assert alone[0] != alone[1]
--- a/tests/net/test_frontend.py
+++ b/tests/net/test_frontend.py
@@ -8,6 +8,7 @@
 import time
 from contextlib import suppress
 from dataclasses import replace
+from urllib.parse import quote
 
 import pytest
 
@@ -297,6 +298,29 @@
     run(test())
 
 
+@pytest.mark.parametrize("coding", ["utf-8", "latin-1"])
+@pytest.mark.parametrize("named", [True, False])
+def test_names_of_any_characters(heard: Heard, coding: str, named: bool) -> None:
+    """Classes and tenants are called what the settings say: headers carry that as bytes, paths quoted."""
+    kind, tenant = "prix d'\u00e9t\u00e9/1", "Zo\u00eb & fils"
+    settings = replace(SETTINGS, classes={kind: replace(SETTINGS.classes["quote"], name=kind)},
+                       tenants={tenant: api.Tenant(tenant)})
+
+    async def test() -> None:
+        async with world(settings=settings) as w:
+            client = await w.client()
+            path = quote(kind, safe="")
+            given = f"X-Class: {kind}\r\n" if named else ""
+            got = await client.raw(f"GET /{path}?obj=1 HTTP/1.1\r\nHost: a\r\nX-Request-Id: r1\r\n{given}"
+                                   f"X-Tenant: {tenant}\r\n\r\n".encode(coding))
+            assert got.status == 200
+            assert w.upstreams[0].seen[0].start[1] == f"/{path}?obj=1"
+            arrived, = heard.of(api.Arrival)
+            assert (arrived.class_name, arrived.tenant) == (kind, tenant)
+
+    run(test())
+
+
 def test_a_method_that_is_not_the_class_s_and_an_endless_id() -> None:
     async def test() -> None:
         async with world() as w:
--- a/tests/tenants/test_entries.py
+++ b/tests/tenants/test_entries.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lanelift.net.parse import text as said
 from lanelift.tenants.entries import (
     LONGEST_VALUE,
     MAX_CLASSES,
@@ -18,7 +19,7 @@
     generalized_time,
     parse,
 )
-from lanelift.tenants.names import folded, from_header
+from lanelift.tenants.names import folded
 from tests.tenants.town import MAP
 
 GOOD = {
@@ -184,7 +185,7 @@
 @pytest.mark.parametrize("one,other", ALIKE)
 def test_names_that_are_one(one: str, other: str) -> None:
     assert folded(one) == folded(other)
-    assert from_header(one.encode()) == folded(other)
+    assert folded(said(one.encode())) == folded(other)
 
 
 @given(st.text(max_size=30))
@@ -196,4 +197,4 @@
 
 @given(st.binary(max_size=60))
 def test_any_header_names_somebody(value: bytes) -> None:
-    assert folded(from_header(value)) == from_header(value)
+    assert folded(folded(said(value))) == folded(said(value))
