A balancer ends 3.6 s after SIGTERM at the latest, and tells who still waits

Need: SIGKILL comes 0.7 s over the longest deadline, "counted as 3 s where it is longer". frontend.py drain added 0.6 s to the longest of the settings: with a class of 4 s (the other customer has one) the end was planned for 4.6 s, 0.9 s behind SIGKILL, and whatever waited then was lost. Change: the sum is capped, and 30 ms before the end whoever still waits is answered as failed, or sees its answer break off.

--- a/lanelift/net/driver.py
+++ b/lanelift/net/driver.py
@@ -274,6 +274,16 @@
             log.error("request %s was not answered by its deadline", request.arrival.request)
             self.post(api.ClientGone(request.arrival.request))
 
+    def end_all(self) -> None:
+        """The process ends: whoever waits beyond that is told, and who is being served can see it."""
+        for request in list(self.requests.values()):
+            if request.passing is None:
+                ended = self._answer(request, FAULTED, lambda client: client.failed(504))
+            else:
+                ended = self._answer(request, FAULTED, lambda client: client.cut())
+            if ended:
+                self.post(api.ClientGone(request.arrival.request))
+
     # ---- actions -----------------------------------------------------------------------------------------
 
     def _carry_out(self, action: api.Action, now: int) -> None:
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -14,7 +14,7 @@
 from urllib.parse import parse_qs, unquote
 
 from lanelift import interface as api
-from lanelift.lifecycle import LAST_S, LEAVE_S, NEWCOMERS_S, Lifecycle, Stage
+from lanelift.lifecycle import LAST_S, LEAVE_S, LONGEST_S, NEWCOMERS_S, Lifecycle, Stage
 from lanelift.net.driver import Driver, OpenRequest
 from lanelift.net.http import UNREAD_S, Exchange, Upload, end_to_end
 from lanelift.net.kernel import bound_buffers, received, reset, unread
@@ -240,7 +240,9 @@
         """SIGTERM: as `evacuate`, and once it is empty it has `left`."""
         if self.lifecycle.leave():
             classes = self.driver.settings.classes.values()
-            self.ends_s = self.loop.time() + max((c.deadline_ns for c in classes), default=0) / 1e9 + LEAVE_S
+            longest_s = max((c.deadline_ns for c in classes), default=0) / 1e9
+            self.ends_s = self.loop.time() + min(longest_s, LONGEST_S) + LEAVE_S
+            self.loop.call_at(self.ends_s - LAST_S, self.driver.end_all)
             self.drained.set()
             self.loop.call_later(NEWCOMERS_S, self._stop)
 
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -11,15 +11,17 @@
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
 import pytest
 
 from lanelift.__main__ import RESERVE
+from lanelift.lifecycle import LONGEST_S
 from lanelift.net import frontend
 from lanelift.net.frontend import ClientConnection, Frontend, Phase
-from tests.fakes import TEST_S, Heard, World, run, world
+from tests.fakes import SECOND, SETTINGS, TEST_S, Heard, World, run, world
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 TWO_PLACES = RESERVE + 2 * 2  # two clients, two connections to upstreams
@@ -182,6 +184,30 @@
     run(test())
 
 
+@pytest.mark.parametrize("begun", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 70_000])
+def test_what_would_wait_beyond_the_end_is_told_before_it(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard, begun: bytes) -> None:
+    """SIGKILL takes a deadline for 3 s where it is longer, and so must the end."""
+    monkeypatch.setattr(frontend, "LEAVE_S", 0.1 - LONGEST_S)
+    quote = replace(SETTINGS.classes["quote"], deadline_ns=90 * SECOND)
+
+    async def test() -> None:
+        async with world(settings=replace(SETTINGS, classes={"quote": quote})) as w:
+            client = await w.held("r1", X_Deadline_Ms=90_000)
+            if begun:
+                w.upstreams[0].links[0].write(begun)
+                await client.reader.readexactly(70_000)
+            terminate()
+            if begun:
+                with pytest.raises(ConnectionError):
+                    while await client.reader.read(65536):
+                        pass
+            else:
+                assert (await client.answer()).status == 504
+
+    run(test())
+
+
 @pytest.mark.usefixtures("settled")
 def test_a_connection_whose_answer_ends_after_the_balancer_was_emptied_is_not_kept(
         monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
