--- a/lanelift/lifecycle.py
+++ b/lanelift/lifecycle.py
@@ -22,8 +22,8 @@
 # more. Those at rest are ended after that and not before: their clients would come straight back. It is far
 # within the 4 s in which an evacuated balancer must be empty, and the 0.7 s that SIGTERM leaves.
 NEWCOMERS_S = 0.5
-# After SIGTERM the process ends this long over the longest deadline: SIGKILL comes 0.7 s over it, where longer
-# ones count as 3 s. What would wait beyond the end is answered this long before it.
+# After SIGTERM the process ends this long over the longest deadline: SIGKILL comes 0.7 s over it, with longer
+# ones counted as 3 s. What would wait beyond the end is answered this long before it.
 LONGEST_S, LEAVE_S, LAST_S = 3.0, 0.6, 0.03
 
 
