--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -248,14 +248,14 @@
 
     def _stop(self) -> None:
         """Close the listener once nobody waits in its backlog, however long all places or descriptors are
-        taken: who waits there was taken, and would be reset by it."""
+        taken: who waits there was taken, and would be reset by it. On a shared one another takes them."""
         if self.closed:
             return
         if not self.stopping:
             self._pause()
             self.stopping = True
             self.loop.call_later(0.02, self._close_idle)
-        if self._accept():
+        if self._accept() or self.lifecycle.shared:
             self.closed = True
             self.listener.close()
             self.loop.call_later(0.02, self._close_idle)
--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -190,6 +190,8 @@
         self.held = False
         self.moved_s = asyncio.get_running_loop().time()
         if self.owed_s < math.inf and self.done is not None:
+            # While it was held nothing could come: it has its time anew.
+            self.mark, self.owed_s = self.size, max(self.owed_s, self.moved_s + OWED_S)
             self.stay()
             self._watch()
         if self.connection is not None and self.connection.transport is not None:
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -80,6 +80,37 @@
     run(test())
 
 
+def test_who_waits_at_a_shared_address_at_sigterm_is_left_to_the_next_process(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    listeners: list[socket.socket] = []
+    fronts: list[Frontend] = []
+    made = Frontend.__init__
+
+    def seen(front: Frontend, driver: Any, listener: socket.socket, *more: Any) -> None:
+        listeners.append(listener.dup())
+        fronts.append(front)
+        made(front, driver, listener, *more)
+
+    monkeypatch.setattr(Frontend, "__init__", seen)
+
+    async def test() -> None:
+        async with ending(monkeypatch, sockets=TWO_PLACES, inherited=9) as (w, stopped):
+            held = [await w.held(f"b{number}") for number in range(2)]
+            waiting = await w.client()
+            waiting.send("w")
+            terminate()
+            await stopped.wait()
+            assert fronts[0].closed
+            for client in held:
+                client.close()
+            with listeners[0] as shared:
+                next_one, _ = await asyncio.get_running_loop().sock_accept(shared)
+                with next_one:
+                    assert b"X-Request-Id: w\r\n" in await asyncio.get_running_loop().sock_recv(next_one, 999)
+
+    run(test())
+
+
 async def refused(w: World) -> None:
     """Returns once the listener is closed, by way of its error."""
     while True:
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -370,6 +370,40 @@
     run(test())
 
 
+def test_an_answer_that_was_held_back_beyond_its_time_is_not_cut_for_having_brought_nothing() -> None:
+    """Nothing is read of it while its client takes nothing: what lies there has yet to go on."""
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        ended: list[api.Result] = []
+        held = asyncio.Event()
+
+        class Held:
+            def began(self, head: object) -> None:
+                exchange.hold()
+                held.set()
+
+            def came(self, data: bytes) -> None:
+                pass
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            connection = Connection(lambda c: None, lambda c: None)
+            await loop.create_connection(lambda: connection, *listener.getsockname())
+            server, _ = listener.accept()
+            with server:
+                exchange = Exchange(b"GET / HTTP/1.1\r\n\r\n", lambda r, _: ended.append(r), passing=Held())
+                connection.start(exchange)
+                exchange.expire_in(0.1)
+                server.sendall(CHUNKED + b"3\r\none\r\n")
+                await held.wait()
+                while loop.time() < exchange.owed_s:
+                    await asyncio.sleep(0.01)
+                exchange.go_on()
+                assert exchange.done is not None and not ended
+                connection.abort()
+
+    run(test())
+
+
 def test_a_client_that_leaves_an_answer_that_never_ends_leaves_nothing_behind(heard: Heard) -> None:
     """Also where nothing may be called off: the connection to the upstream is of use to nobody."""
     async def test() -> None:
