A watch's connection that does not come up is given up after 0.25 s, and the agent called anew

Need: discovery.py _call waited 2.5 s for a connection in place of one that the agent had ended, as for the whole list; what the agent has counts at once, and a drain's grace is 0.5 s. Where lists are pushed it now fails after 0.25 s, and the whole list is asked for on several connections (_reach). The test lets the second connection hang; on the code before the change never came.

--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -200,7 +200,7 @@
 
     async def _ask_anew(self) -> tuple[Connection, Response]:
         """A call for the whole list on a connection of its own, which is kept if it is answered."""
-        connection = await self._connect()
+        connection = await self._connect(CALL_S)
         try:
             return connection, await self._get(connection, WHOLE, CALL_S)
         except BaseException:
@@ -226,7 +226,8 @@
     async def _call(self, target: bytes, wait_s: float) -> None:
         async with self.lock:  # one connection, and one call at a time on it
             if self.connection is None or self.connection.closed:
-                self.connection = await self._connect()
+                # An agent is there at once, or is better called several times (`_reach`).
+                self.connection = await self._connect(AGAIN_S if self.push else CALL_S)
             response = await self._get(self.connection, target, wait_s)
         self._take(response)
 
@@ -249,10 +250,10 @@
         if endpoints or full or not self.push:
             self.driver.learn(api.ListKind.FULL if full else api.ListKind.DELTA, endpoints)
 
-    async def _connect(self) -> Connection:
+    async def _connect(self, seconds: float) -> Connection:
         connection = Connection(lambda c: None, lambda c: None)
         try:
-            async with asyncio.timeout(CALL_S):
+            async with asyncio.timeout(seconds):
                 await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
         except OSError as error:
             raise Unanswered(f"no connection: {error or 'timed out'}") from None
--- a/tests/net/test_upstreams.py
+++ b/tests/net/test_upstreams.py
@@ -346,6 +346,43 @@
     run(test())
 
 
+def test_a_watch_whose_connection_to_its_agent_does_not_come_up_is_opened_anew(
+        monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
+    """The agent ends its connection behind an answer, and the next one hangs."""
+    monkeypatch.setattr(discovery, "CALL_S", 2 * TEST_S)
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        connect, hangs = loop.create_connection, [False]
+
+        async def once(factory: Any, host: str, port: int) -> Any:
+            if hangs[0]:
+                hangs[0] = False
+                await asyncio.Event().wait()
+            return await connect(factory, host, port)
+
+        loop.create_connection = once  # type: ignore[method-assign, assignment]
+        async with world() as w:
+            await w.watching()
+            tell = w.discovery.reply
+
+            async def last(message: Message) -> bytes | None:
+                told = await tell(message)
+                w.discovery.reply = tell
+                hangs[0] = True
+                return told and told.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
+
+            w.discovery.reply = last
+            w.discovery.close_links()  # the watch that is out would be answered as before
+            await w.discovery.until(lambda: w.discovery.reply == tell)
+            w.discovery.change(w.upstreams[0].row("Terminating"))
+            await heard.until(lambda: any(
+                u.state is api.State.DRAINING for e in heard.of(api.ListUpdate) for u in e.upstreams))
+            assert not hangs[0]
+
+    run(test())
+
+
 def test_a_list_entry() -> None:
     now_ms = time.time_ns() // 1_000_000
     row = {"id": "s-5be2a07c", "addr": "127.0.0.9:8000", "state": "Ready", "started_ms": now_ms - 5000}
