--- a/lanelift/net/http.py
+++ b/lanelift/net/http.py
@@ -24,10 +24,10 @@
 # that operators have seen is a quarter of a second); a client that takes nothing for so long reads no more.
 # Its taking shows in steps, as the kernel's buffers here empty: at 16 kB a second each takes some 16 s.
 SILENT_S, UNREAD_S = 10.0, 30.0
-# An answer that does not tell its length may be a long one, or short and never end; one that tells a great
-# length may bring none of it. Once its time is over it is owed: what has brought less than is held of any,
-# and in this time less than this many bytes (8 kB a second, where slow ones bring 64), is given up. Twice
-# that is within the half second that a late one has.
+# An answer that does not tell its length may be a long one, or short and never end. Once its time is over it
+# is owed: what has brought less than is held of any, and in this time less than this many bytes (8 kB a
+# second, where slow ones bring 64), is given up. Twice that is within the half second that a late one has.
+# One that tells a great length is a long one: its first bytes are timed, and what still comes must go on.
 OWED_S, OWED_STEP = 0.2, 1600
 
 
@@ -152,7 +152,7 @@
     def begin(self, head: Response) -> None:
         """Its answer is passed on from here."""
         self.begun = True
-        if self.timer is not None:
+        if self.timer is not None and head.header(b"content-length") is None:
             self.owed_s = self.timer.when()
         self.stay()
         self.moved_s = asyncio.get_running_loop().time()
