--- a/tests/program/test_end.py
+++ b/tests/program/test_end.py
@@ -16,8 +16,10 @@
 SETTINGS = {
     "profiles": [
         {"name": name, "repeat": repeat, "aim_ns": 300_000_000, "hard_limit_ns": int(DEADLINE_S * 1e9)}
-        for name, repeat in (("quote", "read_like"), ("pay", "non_idempotent"))],
-    "limits": {"send_cap": 2, "connect_timeout_ns": 100_000_000}}
+        for name, repeat in (("quote", "read_like"), ("pay", "non_idempotent"))
+    ],
+    "limits": {"send_cap": 2, "connect_timeout_ns": 100_000_000},
+}
 
 
 class Town:
@@ -53,8 +55,13 @@
     async def ask(self, client: Client, kind: str, used: int) -> bool:
         """Ask once; may the connection be used again?"""
         self.asked += 1
-        client.send(f"{kind}-{self.asked}", kind, "GET" if kind == "quote" else "POST",
-                    b"" if kind == "quote" else b"x", X_Deadline_Ms=int(DEADLINE_S * 1000))
+        client.send(
+            f"{kind}-{self.asked}",
+            kind,
+            "GET" if kind == "quote" else "POST",
+            b"" if kind == "quote" else b"x",
+            X_Deadline_Ms=int(DEADLINE_S * 1000),
+        )
         try:
             got = await client.answer()
         except (asyncio.IncompleteReadError, ConnectionError) as error:
@@ -68,6 +75,7 @@
 
 def test_from_sigterm_to_its_end_every_request_is_answered(tmp_path: Path) -> None:
     """Half of the upstreams hang from just then on. Nothing is open when SIGKILL would come."""
+
     async def test() -> None:
         loop = asyncio.get_running_loop()
         boxes = [FakeUpstream(f"s-{i}") for i in range(4)]
@@ -80,8 +88,11 @@
             first = await connect(listen_address(told))
             first.close()
             town = Town(listen_address(told))
-            clients = [asyncio.create_task(town.live(kind, rests)) for kind in ("quote", "pay")
-                       for rests in (False, False, False, True)]
+            clients = [
+                asyncio.create_task(town.live(kind, rests))
+                for kind in ("quote", "pay")
+                for rests in (False, False, False, True)
+            ]
             while sum(town.ended.values()) < 200:
                 await asyncio.sleep(0)
             assert town.ended == {"200": sum(town.ended.values())}
