Entries of a list that can't be read are one line in the log, however many

Need: discovery.py read_list wrote a line for each, with every answer of discovery: thousands where a list is 4 MB. Now one line says how many there were and what is wrong with the first. Test: a whole list, indented, with 1,002 such entries and a duplicate; the one that can be read is used. It fails on the code before (1,002 lines).

--- a/lanelift/net/discovery.py
+++ b/lanelift/net/discovery.py
@@ -87,12 +87,14 @@
 def read_list(raw: Any) -> tuple[int, bool, list[Endpoint]]:
     """A list's version, whether it is whole, and its entries; those that can't be read are skipped."""
     raw = typed(raw, "list", dict)
-    endpoints = []
+    endpoints, skipped = [], []
     for row in need(raw, "servers", list):
         try:
             endpoints.append(read_endpoint(row))
         except Malformed as error:
-            log.warning("discovery: entry skipped: %s", error)
+            skipped.append(error)
+    if skipped:
+        log.warning("discovery: entries skipped: %d; the first: %s", len(skipped), skipped[0])
     return need(raw, "version", int), maybe(raw, "full", bool, False), endpoints
 
 
--- a/tests/net/test_upstreams.py
+++ b/tests/net/test_upstreams.py
@@ -6,6 +6,7 @@
 import json
 import socket
 import time
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import replace
 from typing import Any
@@ -402,6 +403,38 @@
     assert split_address("[::1]:80") == ("::1", 80)
 
 
+def test_a_list_with_entries_that_cannot_be_read_is_one_line_and_the_rest_is_used(
+        heard: Heard, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with world() as w:
+            good = w.upstreams[0].row()
+            await w.watching()
+            caplog.clear()
+            bad = [{**good, "id": f"b-{number}", "addr": "nowhere"} for number in range(1000)]
+            told = {"version": 9, "full": True, "servers": [*bad, good, good, 7, {}]}
+            w.discovery.version = 9
+            w.discovery.reply = _only(answer(200, json.dumps(told, indent=4).encode()), w.discovery.reply)
+            w.discovery.close_links()
+            await heard.until(lambda: len(heard.of(api.ListUpdate)) == 3)  # as last known, one, this
+            assert {u.id for u in heard.of(api.ListUpdate)[2].upstreams} == {number_of("s-0")}
+            lines = [r.getMessage() for r in caplog.records if "skipped" in r.getMessage()]
+            assert lines == ["discovery: entries skipped: 1002; the first: 'nowhere' is not HOST:PORT"]
+            assert (await w.ask("r1")).status == 200
+
+    run(test())
+
+
+def _only(first: bytes, then: Callable[[Message], Awaitable[bytes | None]]) -> Callable[
+        [Message], Awaitable[bytes | None]]:
+    """Answers once with this, and then as before."""
+    left = [first]
+
+    async def reply(message: Message) -> bytes | None:
+        return left.pop() if left else await then(message)
+
+    return reply
+
+
 def test_peers(heard: Heard) -> None:
     async def test() -> None:
         with socket.socket(type=socket.SOCK_DGRAM) as peer, socket.socket(type=socket.SOCK_DGRAM) as odd, \
