Requests whose client leaves the backlog, or sent ahead, are held to be never begun

Need: the issue asks to count what reaches the upstream for each place in which a request can wait. Two had no test of their own: the backlog with all places taken, and behind another request, each left by an end and by a reset. Nothing was found. Mistakes planted (the kernel's word on an end not heeded; what was sent ahead parsed at the end) make two cases fail each.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable, Iterator, Sequence
 from contextlib import asynccontextmanager, contextmanager, suppress
 from dataclasses import dataclass, replace
@@ -230,6 +231,12 @@
     def close(self) -> None:
         self.writer.close()
 
+    def reset(self) -> None:
+        """Leave by a reset; what was sent before it has left."""
+        sock = self.writer.transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
 
 class Heard(Watched):
     """The events that the module is handed."""
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -15,6 +15,7 @@
 import pytest
 
 from lanelift import interface as api
+from lanelift.__main__ import RESERVE
 from lanelift.net import frontend, http, upstream
 from lanelift.net.discovery import number_of
 from lanelift.net.http import Connection, Exchange
@@ -123,16 +124,70 @@
             assert (await w.ask("r0")).status == 200
             client = await w.client()
             await heard.until(lambda: heard.results() == [R.OK])
-            sock = client.writer.transport.get_extra_info("socket")
             client.send("r1")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-            client.writer.transport.abort()
+            client.reset()
             assert (await w.ask("r2")).status == 200
             assert [e.request for e in heard.of(api.Arrival)] == ["r0", "r2"]
 
     run(test())
 
 
+LEAVES = {"end": lambda client: client.close(), "reset": lambda client: client.reset()}
+
+
+@pytest.mark.parametrize("how", LEAVES)
+def test_a_request_whose_client_leaves_the_backlog_is_not_begun(heard: Heard, how: str) -> None:
+    """All places are taken; it is accepted when one is free, and its client has left by then."""
+    async def test() -> None:
+        async with world(settings=PATIENT, sockets=RESERVE + 2 * 2) as w:  # two clients
+            go_on = asyncio.Event()
+
+            async def slow() -> bytes:
+                await go_on.wait()
+                return answer(200, b"slow")
+
+            w.upstreams[0].script = [slow, slow]
+            busy = [await w.client() for _ in range(2)]
+            for number, client in enumerate(busy):
+                client.send(f"b{number}")
+            await heard.until(lambda: len(heard.of(api.Arrival)) == 2)
+            leaves, stays = await w.client(), await w.client()
+            leaves.send("gone")
+            LEAVES[how](leaves)
+            stays.send("last")
+            go_on.set()
+            assert (await stays.answer()).status == 200
+            assert [e.request for e in heard.of(api.Arrival)] == ["b0", "b1", "last"]
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", LEAVES)
+def test_what_a_client_sent_ahead_is_not_begun_once_it_has_left(heard: Heard, how: str) -> None:
+    """Nothing may be called off: the first goes on at its upstream, and its end must not begin the second."""
+    async def test() -> None:
+        async with world(settings=PATIENT) as w:
+            go_on = asyncio.Event()
+
+            async def slow() -> bytes:
+                await go_on.wait()
+                return answer(200, b"slow")
+
+            w.upstreams[0].script = [slow]
+            client = await w.client()
+            client.send("first")
+            client.send("ahead")
+            await w.upstreams[0].until(lambda: len(w.upstreams[0].seen) == 1)
+            LEAVES[how](client)
+            await heard.until(lambda: heard.of(api.ClientGone))
+            go_on.set()
+            await heard.until(lambda: heard.results() == [R.OK])
+            assert (await w.ask("last")).status == 200
+            assert ids(w.upstreams[0]) == ["first", "last"]
+
+    run(test())
+
+
 def test_a_request_whose_client_leaves_while_its_upstream_takes_no_more_never_gets_there_whole(
         monkeypatch: pytest.MonkeyPatch, heard: Heard) -> None:
     """Its last byte has not been written: it never ran, so ending it calls nothing off."""
