At the end of a process its last requests are refused, not failed; two tests steady on a busy machine

Cause of the first: Frontend.drain had whoever still waits told 30 ms before the end, the very moment at which such a request's own time is over, so which came first was luck, and a truthful refusal could come out as a failure. Change: 15 ms before the end, and a turn of the loop behind what is due. The second test takes another port. Both are as strict as before.

--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -242,7 +242,8 @@
             classes = self.driver.settings.classes.values()
             longest_s = max((c.deadline_ns for c in classes), default=0) / 1e9
             self.ends_s = self.loop.time() + min(longest_s, LONGEST_S) + LEAVE_S
-            self.loop.call_at(self.ends_s - LAST_S, self.driver.end_all)
+            # Behind what ends by itself then, be all of it late: a refusal is better than a failure.
+            self.loop.call_at(self.ends_s - LAST_S / 2, self.loop.call_soon, self.driver.end_all)
             self.drained.set()
             self.loop.call_later(NEWCOMERS_S, self._stop)
 
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -21,7 +21,7 @@
 from lanelift.lifecycle import LONGEST_S
 from lanelift.net import frontend
 from lanelift.net.frontend import ClientConnection, Frontend, Phase
-from tests.fakes import SECOND, SETTINGS, TEST_S, Heard, World, run, world
+from tests.fakes import SECOND, SETTINGS, TEST_S, Heard, World, free_port, run, world
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 TWO_PLACES = RESERVE + 2 * 2  # two clients, two connections to upstreams
@@ -294,7 +294,8 @@
 kept = []
 Frontend.__init__ = ended
 code = main.main()
-print(kept[0].recv(12).decode(), flush=True)
+if kept:
+    print(kept[0].recv(12).decode(), flush=True)
 sys.exit(code)
 """
 
@@ -303,16 +304,17 @@
     """Before a handler stood, the signal ended the process by itself, over whoever had connected."""
     async def test() -> None:
         async with world() as w:
-            with socket.socket() as taken:
-                taken.bind(("127.0.0.1", 0))
-                listen = f"127.0.0.1:{taken.getsockname()[1]}"
             path = tmp_path / "config.json"
-            path.write_text(config_text(listen, w))
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-c", SIGTERM_AT_THE_LISTENER, stdout=asyncio.subprocess.PIPE,
-                env={**os.environ, "BALANCER_CONFIG": str(path)})
-            said, _ = await process.communicate()
-            assert (process.returncode, said) == (0, b"HTTP/1.1 503\n")
+            code, said = 2, b""
+            while code == 2:  # somebody else took the port meanwhile
+                path.write_text(config_text(f"127.0.0.1:{free_port()}", w))
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-c", SIGTERM_AT_THE_LISTENER, stdout=asyncio.subprocess.PIPE,
+                    env={**os.environ, "BALANCER_CONFIG": str(path)})
+                said, _ = await process.communicate()
+                assert process.returncode is not None
+                code = process.returncode
+            assert (code, said) == (0, b"HTTP/1.1 503\n")
 
     run(test())
 
