SIGTERM: who waits in the backlog behind some that have left is answered

Frontend._accept looked at as many connections as there were places; those whose clients had left took a look each, and no place. With only such ones in front, places were free, no client's end was to come, and _stop was called by nobody any more: the listener stayed open, unread, to the end of the process, and who waited was lost. Change: it goes on until all places are taken or nobody waits.

--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -120,8 +120,9 @@
         if len(self.clients) >= self.max_clients:
             self._room()
             return False
-        # No further than to the cap: whether anybody waits beyond it is seen next turn.
-        for _ in range(self.max_clients - len(self.clients)):
+        # No further than to the cap: whether anybody waits beyond it is seen next turn, or at the next free
+        # place. Those who have left take none, so below it there is always a look at who is behind them.
+        while len(self.clients) < self.max_clients:
             try:
                 sock, _ = self.listener.accept()
             except BlockingIOError:
--- a/tests/net/test_endings.py
+++ b/tests/net/test_endings.py
@@ -19,7 +19,7 @@
 
 from lanelift.__main__ import RESERVE
 from lanelift.lifecycle import LONGEST_S
-from lanelift.net import frontend
+from lanelift.net import discovery, frontend
 from lanelift.net.frontend import ClientConnection, Frontend, Phase
 from tests.fakes import SECOND, SETTINGS, TEST_S, Heard, World, free_port, run, world
 
@@ -119,6 +119,27 @@
         client.close()
 
 
+def test_who_waits_in_the_backlog_at_sigterm_behind_some_that_have_left_is_answered(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """They are as many as there are places, so all of these are free, and no end of a client is to come."""
+    monkeypatch.setattr(discovery, "START_S", 2 * TEST_S)
+
+    async def test() -> None:
+        async with ending(monkeypatch, sockets=TWO_PLACES, known=None) as (w, stopped):
+            w.discovery.silent = True
+            waiting = [await w.client() for _ in range(3)]
+            for number, client in enumerate(waiting):
+                client.send(f"w{number}")
+            await w.discovery.until(lambda: w.discovery.seen)
+            for client in waiting[:2]:
+                client.reset()
+            terminate()
+            await stopped.wait()
+            assert (await waiting[2].answer()).status == 503
+
+    run(test())
+
+
 @pytest.mark.parametrize("rest", [True, False])
 def test_who_waits_in_the_backlog_at_sigterm_is_answered_though_the_places_are_taken_by_who_says_nothing(
         monkeypatch: pytest.MonkeyPatch, rest: bool) -> None:
