--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -95,17 +95,27 @@
     return Message(first, {name.strip().lower(): value.strip() for name, _, value in pairs})
 
 
-async def read_body(reader: asyncio.StreamReader, head: Message) -> bytes:
-    """Reads the body of a message. Raises IncompleteReadError or ConnectionError if it is not whole."""
+async def read_body(reader: asyncio.StreamReader, head: Message, received: bytearray | None = None) -> bytes:
+    """Reads the body of a message, and adds what comes of it to `received`.
+
+    Raises:
+        asyncio.IncompleteReadError, ConnectionError, ValueError: The body is not whole.
+    """
+    body = bytearray() if received is None else received
     if head.headers.get("transfer-encoding", "").lower() == "chunked":
-        parts = []
         while True:
             size = int((await reader.readline()).split(b";")[0] or b"x", 16)
             part = await reader.readexactly(size + 2)
             if not size:
-                return b"".join(parts)
-            parts.append(part[:-2])
-    return await reader.readexactly(int(head.headers.get("content-length", "0")))
+                return bytes(body)
+            body += part[:-2]
+    length = int(head.headers.get("content-length", "0"))
+    while len(body) < length:
+        piece = await reader.read(min(1 << 16, length - len(body)))
+        if not piece:
+            raise asyncio.IncompleteReadError(bytes(body), length)
+        body += piece
+    return bytes(body)
 
 
 def encode(start: str, headers: dict[str, str], body: bytes = b"") -> bytes:
