A request with a streamed body gets no hedged attempt, which had no body

Seen by callers: a keyed request with a chunked body over 64 KiB, whose upstream hung, was answered 200 from an empty body. With a stated length the hedged attempt was a head that no body followed.

Cause: a streamed body is given to the first connection and not kept. The decisions refused another attempt only once an ended attempt had reported the body as consumed; a hedged attempt starts before that. The network layer did not look either, and Upload.attach returned the last chunk alone.

Change: PendingRequest.body_streamed stays set after the body has come. may_start_attempt, which first attempts, retries and hedged attempts all ask, refuses an attempt beside one in flight; AttemptRunner._is_allowed keeps the same rule. Why this works: an attempt in flight is exactly one that has taken the body or will take it when it is connected.

--- a/lanelift/net/attempts.py
+++ b/lanelift/net/attempts.py
@@ -167,12 +167,14 @@
             attempt.finish(AttemptResult.NOT_SENT)
 
     def _is_allowed(self, request: OpenRequest, number: int, left_ns: int) -> bool:
-        limits = self.settings.limits
+        limits, upload = self.settings.limits, request.upload
+        may_overlap = limits.hedging and upload is None  # a streamed body is there for one attempt only
         return (
             not request.closed
             and left_ns > 0
             and number < limits.max_attempts
-            and request.unfinished_attempts <= (2 if limits.hedging else 1)
+            and request.unfinished_attempts <= (2 if may_overlap else 1)
+            and not (upload is not None and upload.consumed)
         )
 
     def _send(self, attempt: Attempt, wait_ns: int) -> None:
--- a/lanelift/policy/admission.py
+++ b/lanelift/policy/admission.py
@@ -107,6 +107,7 @@
             min(event.cost_hint_ns, request_class.deadline_ns),
             event.retry,
             body_pending=event.body_pending,
+            body_streamed=event.body_pending,
         )
 
     def _is_hopeless(self, request: PendingRequest, expected_ns: float, now: int) -> bool:
--- a/lanelift/policy/events.py
+++ b/lanelift/policy/events.py
@@ -102,8 +102,8 @@
         key: The request's ordering key; empty if the request has none.
         retry: Whether the client says that this request repeats an earlier request.
         received_ns: When the last byte of the request was received, if earlier than now; 0 means now.
-        body_pending: Whether the request's body is still being received, and can be sent only once. The
-            request's time is then counted from `BodyReceived` on.
+        body_pending: Whether the request's body is still being received. Such a body is streamed, and can be
+            sent only once, also after `BodyReceived`. The request's time is counted from `BodyReceived` on.
     """
 
     request: str
--- a/lanelift/policy/legality.py
+++ b/lanelift/policy/legality.py
@@ -31,7 +31,7 @@
         and class_may_use(upstream.endpoint, request.request_class)  # rule 6
         and is_first_of_its_key(request, now)
         and not request.denial_reason
-        and not request.body_consumed
+        and _has_whole_body(request)
         and _repeat_is_harmless(request, upstream, now)
     )
 
@@ -48,6 +48,15 @@
     return request.attempts_in_flight < (MAX_IN_FLIGHT_WITH_HEDGING if limits.hedging else MAX_IN_FLIGHT)
 
 
+def _has_whole_body(request: PendingRequest) -> bool:
+    """Return whether the whole body is there to be sent.
+
+    A streamed body is sent only once: an attempt in flight has taken it, or takes it when its connection is
+    established.
+    """
+    return not request.body_consumed and not (request.body_streamed and request.attempts_in_flight)
+
+
 def _repeat_is_harmless(request: PendingRequest, upstream: Upstream, now: int) -> bool:
     """Rule 2: the request has not run yet, or may be repeated at this upstream without harm.
 
--- a/lanelift/policy/requests.py
+++ b/lanelift/policy/requests.py
@@ -47,7 +47,9 @@
         response_started: Whether a response to the request is being passed on.
         body_pending: Whether the request's body is still being received, so that the request's time is not
             counted yet.
-        body_consumed: Whether part of the body was consumed, so that the request can't be sent again.
+        body_streamed: Whether the body is not buffered, and can be sent only once.
+        body_consumed: Whether an attempt that has ended consumed part of a streamed body, so that the request
+            can't be sent again.
         place: Where the request waits.
         cooldown_until_ns: When the cooldown of the request's ordering key is over.
         give_up_at_ns: The time at which the request is given up if it still waits.
@@ -72,6 +74,7 @@
     finished: bool = False
     response_started: bool = False
     body_pending: bool = False
+    body_streamed: bool = False
     body_consumed: bool = False
     place: WaitingPlace = WaitingPlace.NOWHERE
     cooldown_until_ns: int = 0
--- a/tests/policy/checked_balancer.py
+++ b/tests/policy/checked_balancer.py
@@ -157,6 +157,7 @@
         notified_complete: Requests that were reported to the balancer as complete.
         body_pending: Requests whose body is still being received, so that their time is not counted.
         body_consumed: Requests that can't be sent again, as part of their body was consumed.
+        body_streamed: Requests whose body can be sent only once, whether or not it has been received.
         response_started: The number of the attempt whose response is being passed on, by request.
         key_order: The requests of each ordering key, in order of arrival.
         cooldown_until: When later requests of the same key may be forwarded, by request.
@@ -177,6 +178,7 @@
         self.notified_complete: set[str] = set()
         self.body_pending: set[str] = set()
         self.body_consumed: set[str] = set()
+        self.body_streamed: set[str] = set()
         self.response_started: dict[str, int] = {}
         self.key_order: dict[str, list[str]] = {}
         self.cooldown_until: dict[str, int] = {}
@@ -260,6 +262,7 @@
             self.deadline[event.request] = event.deadline_ns
             if event.body_pending:
                 self.body_pending.add(event.request)
+                self.body_streamed.add(event.request)
             if self.classes[event.request].ordered_by_key and event.key:
                 self.key_order.setdefault(event.key, []).append(event.request)
         elif isinstance(event, AttemptFinished) and event.request in self.classes:
@@ -379,6 +382,9 @@
         assert len(sent) < limits.max_attempts
         in_flight = sum((request, i) not in self.results for i in range(len(sent)))
         assert in_flight < (2 if limits.hedging else 1), f"{request}: {in_flight} attempts in flight already"
+        assert not in_flight or request not in self.body_streamed, (
+            f"{request} sent without its body, which an attempt in flight has taken or will take"
+        )
         if may_have_run and request_class.idempotency is Idempotency.NON_IDEMPOTENT:
             raise AssertionError(f"{request} is not idempotent, may have run and is sent again")
         if may_have_run and request_class.idempotency is Idempotency.IDEMPOTENCY_KEY:
--- a/tests/policy/test_checker.py
+++ b/tests/policy/test_checker.py
@@ -51,6 +51,10 @@
     check_illegal(fresh(one), Reject("r1"), Fail("r1"))  # rule 1: a second final answer
     # Rule 2: two attempts in flight without hedging.
     check_illegal(fresh(one), StartAttempt("r1", 1), StartAttempt("r1", 2))
+    hedging = fresh(one._replace(body_pending=True))
+    hedging.config = settings()
+    # Rule 2: a body that can be sent only once is needed by two attempts in flight.
+    check_illegal(hedging, StartAttempt("r1", 1), StartAttempt("r1", 2))
     ran = fresh(pay)
     ran._check(StartAttempt("r1", 1))
     ran.results["r1", 0] = AttemptResult.ERROR
