Noise right behind a long response no longer takes its last part

Cause: UpstreamConnection._process forwarded what was just parsed only if the parser had no error.

Change: ResponseParser.response_error is the error of the response itself, None once the response is complete, and alone decides what happens to the response. Why this works: the parser fails in order, so that an error beside a complete response belongs to the bytes behind it. These still end the connection.

--- a/lanelift/net/http_parser.py
+++ b/lanelift/net/http_parser.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from lanelift.net.http_messages import Request, Response
+from lanelift.net.http_messages import MessageError, Request, Response
 from lanelift.net.message_parser import MAX_BUFFERED_BODY_BYTES, MessageParser, PartialMessage
 
 # largest number of 1xx responses before the final one; more of them count as a response that never ends
@@ -115,6 +115,11 @@
             and not any(name == b"content-length" for name, _ in partial.headers)
         )
 
+    @property
+    def response_error(self) -> MessageError | None:
+        """The error of the response itself. An error of bytes behind a complete response is not returned."""
+        return None if self.messages else self.error
+
     def connection_ended(self) -> None:
         """Completes a response whose end is marked by the end of the connection."""
         if self._ends_with_connection and self.partial is not None and self.partial.head_complete:
--- a/lanelift/net/upstream_connection.py
+++ b/lanelift/net/upstream_connection.py
@@ -150,9 +150,14 @@
         self._process(exchange)
 
     def _process(self, exchange: Exchange) -> None:
-        """Handles the parser's results for the exchange."""
+        """Handles the parser's results for the exchange.
+
+        Failure guarded against: bytes that follow a streamed response, and can't be parsed, may be read
+        together with its last part. This part is forwarded before the response is completed.
+        """
         parser = self.parser
-        if parser.streamed_head is not None and parser.error is None:
+        error = parser.response_error
+        if parser.streamed_head is not None and error is None:
             if parser.streamed_head.status != 200:
                 # The body of a long error response is not forwarded, as the status is sufficient.
                 exchange.finish(AttemptResult.OK, parser.streamed_head)
@@ -163,7 +168,7 @@
             return  # the exchange was given up while its response was streamed
         if parser.messages:
             self._complete(exchange, parser.messages.popleft())
-        elif parser.error is not None:
+        elif error is not None:
             # An invalid response still means that the server has processed the request, and that the network
             # did not fail. Further input on this connection is not trusted.
             exchange.finish(AttemptResult.ERROR)
