A long response right behind a short one is no longer streamed in its place

Seen by callers: an upstream sent a response of up to 64 KiB and the head of a longer one right behind it. The client got the longer one's head and never its body. Found by a test for noise behind long responses.

Cause: ResponseParser starts to stream any message with a long body, also one that follows the response, and UpstreamConnection._process takes the streamed head for the response's.

Change: after a complete response nothing is streamed until the next one is expected, so that such a message is an error behind the response. Why this works: one exchange has one response, and it is the first.

--- a/lanelift/net/http_parser.py
+++ b/lanelift/net/http_parser.py
@@ -152,6 +152,8 @@
         assert self.parser is not None
         if self.parser.get_status_code() >= 200:
             super()._complete(partial)
+            # A long message that wrongly follows the response is not streamed in its place.
+            self.may_stream = False
             return
         self._interim_responses += 1
         if self._interim_responses > MAX_INTERIM_RESPONSES:
--- a/tests/net/test_bytes_after_response.py
+++ b/tests/net/test_bytes_after_response.py
@@ -97,6 +97,29 @@
     run(test())
 
 
+@pytest.mark.parametrize("extra", EXTRAS.values(), ids=EXTRAS)
+@pytest.mark.parametrize("framed", FRAMINGS)
+def test_bytes_right_behind_a_short_response_are_not_streamed(
+    recorded: EventRecorder, framed: Callable[[bytes], bytes], extra: bytes
+) -> None:
+    """A response that would be streamed follows a short one in the same read. Its head was sent to the client
+    in place of the short response.
+    """
+
+    async def test() -> None:
+        async with in_process_balancer() as lb:
+            upstream = lb.upstreams[0]
+            upstream.script = [framed(b"first") + extra, answer(200, b"second")]
+            client = await lb.client()
+            client.send("r1")
+            assert (await read_response(client))[1] == b"first"
+            assert (await client.request("r2")).body == b"second"
+            assert [m.link for m in upstream.seen] == [1, 2]
+            assert recorded.results() == [R.OK, R.OK]
+
+    run(test())
+
+
 @pytest.mark.parametrize("extra", [b"\xff", bytes(range(128, 256))], ids=["one byte", "noise"])
 def test_a_client_of_http_1_0_gets_the_complete_response_before_noise(extra: bytes) -> None:
     """To such a client the end of the connection is the end of a response in chunks, so that a part which is
