The next request after a long body is read and answered

Seen by callers: after a request with a body over 64 KiB the next one on the same connection was never answered.

Cause: reading from a client is paused while its streamed body can't be passed on. A body that ended in that state was let go of without resuming, and _set_reading does nothing without the body: nobody could resume.

Change: ClientConnection._detach_upload resumes reading and then drops the body; its end, an early answer and an early streamed response all use it. Why this works: it is the only way to let go of a body while the connection goes on, so that reading is paused only while a body is streamed.

--- a/lanelift/net/client_connection.py
+++ b/lanelift/net/client_connection.py
@@ -265,7 +265,7 @@
         if parser.messages:
             parser.messages.popleft()
             parser.finish_streamed()
-            self.upload = None
+            self._detach_upload()
             self.table.leave(self)
             assert self.request is not None
             deadline_ns = self.received_ns + max(0, self.wait_ns - ANSWER_MARGIN_NS)
@@ -287,6 +287,15 @@
         else:
             self.transport.pause_reading()
 
+    def _detach_upload(self) -> None:
+        """Ends the streaming of a body, after which reading no longer waits for an upstream.
+
+        Failure guarded against: the body may end while reading is paused. The next request, or the client's
+        disconnection, would never be read.
+        """
+        self._set_reading(True)
+        self.upload = None
+
     def _abandon_request(self, status: int, reason: str) -> None:
         """Rejects a request whose body will never be complete, and cancels its attempt."""
         request, self.request = self.request, None
--- a/lanelift/net/client_responses.py
+++ b/lanelift/net/client_responses.py
@@ -76,7 +76,7 @@
     def _parse(self) -> None:
         raise NotImplementedError
 
-    def _set_reading(self, enabled: bool) -> None:
+    def _detach_upload(self) -> None:
         raise NotImplementedError
 
     # ---- final answers (`interfaces.Client`) -------------------------------------------------------------
@@ -105,8 +105,8 @@
             return
         from_request, self.request = self.request is not None, None
         if self.upload is not None:
-            self._set_reading(True)  # the rest of the body is read and discarded
-            self.upload, last = None, True
+            self._detach_upload()  # the rest of the body is read and discarded
+            last = True
         rows = [*headers, (b"Content-Length", b"%d" % len(body))]
         self._write_head(status, rows, last, from_request, b"" if self.is_head_request else body)
         self._flush()
@@ -118,8 +118,8 @@
         assert self.transport is not None
         self.source = source
         if self.upload is not None:
-            self._set_reading(True)
-            self.upload, self.keep_alive = None, False
+            self._detach_upload()
+            self.keep_alive = False
         length = head.header(b"content-length")
         rows = end_to_end_headers(head.headers)
         if length is not None:
