A class's estimate no longer stays at zero after a response too fast to measure

Seen by callers: refusals of requests that could have been served, for up to 3 s after one failure of an upstream.

Cause: the time that a response waited unread is subtracted from its duration, and is known to a tick of some 4 ms, so a fast response may have taken 0. As the first of its class it set the estimate to 0, where it stayed, since a sample counts as at most eight times the estimate. Each attempt was overdue at once, and each such ejection was counted, so that a broken connection came at the fourth doubling.

Change: a duration below 1 ms counts as 1 ms. Why this works: a sample of that size can grow, and no attempt is overdue before it can be answered.

--- a/lanelift/policy/service_time.py
+++ b/lanelift/policy/service_time.py
@@ -15,6 +15,7 @@
 
 from lanelift.policy.attempts import Attempt
 from lanelift.policy.settings import RequestClass
+from lanelift.policy.units import MILLISECOND_NS
 
 # A request is late if it takes longer than its expected time multiplied by the sum of this margin and a
 # multiple of the relative deviation.
@@ -24,6 +25,9 @@
 PRIOR_SLOPE = 0.5  # prior slope, used with few samples; with a slope of 1, time is proportional to the hint
 # A class without samples is assumed to take an eighth (1 / this number) of its objective.
 UNKNOWN_CLASS_DIVISOR = 8
+# A shorter duration counts as this long: the time for which a response waited unread is subtracted from it,
+# and is known only to a tick of the kernel's clock.
+MIN_DURATION_NS = MILLISECOND_NS
 CLASS_SMOOTHING = 0.05  # weight of the latest sample in the estimate of a class
 MAX_CLASS_GROWTH = 8  # a sample of a class counts as at most this multiple of its estimate
 INITIAL_DEVIATION = 0.5  # relative deviation that is assumed before there are samples
@@ -102,6 +106,7 @@
     def observe(self, request_class: RequestClass, hint_ns: int, attempt: Attempt, duration_ns: int) -> None:
         """Update the estimate of a class or hint, and the upstream's service time factor, from a response."""
         upstream = attempt.upstream
+        duration_ns = max(MIN_DURATION_NS, duration_ns)
         if not attempt.queued_work_ns:
             if hint_ns:
                 self.by_hint.observe(hint_ns, duration_ns)
