A handshake that is complete is not given up because this process was stopped

Seen by callers: a request was refused (503) where one attempt is allowed, or an attempt was spent for nothing.

Cause: the timer of a handshake (30 ms at least) fires in the iteration in which a process that got no CPU time learns of the connection, and before it does. That it was late was noticed; the attempt ended with NOT_SENT.

Change: a timer that fires late waits again for as long as it was late, as checks of overdue attempts do; the limit of the settings bounds it. Why this works: events of sockets come before timers in the next iteration.

--- a/lanelift/net/connection_pool.py
+++ b/lanelift/net/connection_pool.py
@@ -11,7 +11,7 @@
 
 from lanelift.net.endpoints import ResolvedEndpoint
 from lanelift.net.exchange import Exchange
-from lanelift.net.handshakes import HandshakeEstimator
+from lanelift.net.handshakes import HandshakeEstimator, HandshakeTimer
 from lanelift.net.socket_options import is_quiescent
 from lanelift.net.upstream_connection import UpstreamConnection
 from lanelift.policy.events import AttemptResult, EndpointState
@@ -25,9 +25,6 @@
 # An unsettled connection may serve GET requests if the mean response time is at least this many times
 # SETTLE_S.
 MIN_RESPONSE_TO_SETTLE_RATIO = 4
-# If a handshake's timer fires at least this long after it was due, this process is short of CPU time, and the
-# time-out says nothing about the upstream.
-LATE_TIMER_S = 0.01
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 SHORTAGE_LOG_INTERVAL_S = 5.0
 
@@ -186,8 +183,10 @@
             lambda connection: self._forget(target, connection),
         )
         loop = asyncio.get_running_loop()
-        started_s, timeout_s = loop.time(), self.handshakes.timeout_s
-        timer = loop.call_at(started_s + timeout_s, self._handshake_overdue, exchange, started_s + timeout_s)
+        started_s = loop.time()
+        timer = HandshakeTimer(
+            self.handshakes.timeout_s, lambda: exchange.give_up(AttemptResult.CONNECT_FAILED)
+        )
         target.connecting.add(exchange)
         try:
             async with asyncio.timeout(self.connect_timeout_s):
@@ -216,12 +215,6 @@
         else:
             connection.start(exchange)
 
-    def _handshake_overdue(self, exchange: Exchange, due_s: float) -> None:
-        """Gives up an exchange whose handshake takes too long. If the timer fired late, the upstream is not
-        blamed."""
-        is_late = asyncio.get_running_loop().time() > due_s + LATE_TIMER_S
-        exchange.give_up(AttemptResult.NOT_SENT if is_late else AttemptResult.CONNECT_FAILED)
-
     # ---- idle connections --------------------------------------------------------------------------------
 
     def _release(self, target: UpstreamTarget, connection: UpstreamConnection) -> None:
--- a/lanelift/net/handshakes.py
+++ b/lanelift/net/handshakes.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable
+
 # The lower bound of a handshake's time-out, which applies however fast earlier handshakes were.
 MIN_HANDSHAKE_TIMEOUT_S = 0.03
+# If a handshake's timer fires at least this long after it was due, this process is short of CPU time, and the
+# time-out says nothing about the upstream.
+LATE_TIMER_S = 0.01
 
 
 class HandshakeEstimator:
@@ -39,3 +45,28 @@
         if self.mean_s is None:
             return self.limit_s
         return min(self.limit_s, max(MIN_HANDSHAKE_TIMEOUT_S, self.mean_s + 4 * self.deviation_s))
+
+
+class HandshakeTimer:
+    """Ends the wait for a handshake at its time-out.
+
+    Failure guarded against: this process may be stopped for longer than the time-out. The handshake may be
+    complete by then, but the loop does not know that yet. So a timer that fires late waits again, for as long
+    as it was late. The limit of the settings bounds these waits: it ends the handshake itself.
+    """
+
+    def __init__(self, timeout_s: float, on_overdue: Callable[[], None]) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._on_overdue = on_overdue
+        self._handle = self._loop.call_later(timeout_s, self._fired)
+
+    def cancel(self) -> None:
+        """Cancels the timer, as the handshake has ended."""
+        self._handle.cancel()
+
+    def _fired(self) -> None:
+        late_s = self._loop.time() - self._handle.when()
+        if late_s > LATE_TIMER_S:
+            self._handle = self._loop.call_later(late_s, self._fired)
+        else:
+            self._on_overdue()
--- a/tests/net/test_handshakes.py
+++ b/tests/net/test_handshakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import replace
 from typing import Any
 
@@ -98,3 +99,38 @@
         upstreams.close()
 
     run(test())
+
+
+@pytest.mark.parametrize("stopped_s", [0.05, 0.15])
+def test_a_handshake_is_not_given_up_while_this_process_was_stopped(
+    monkeypatch: pytest.MonkeyPatch, stopped_s: float
+) -> None:
+    """The process is stopped during a handshake, for longer than the handshake's time-out. The upstream has
+    accepted the connection meanwhile. The request was refused where no further attempt was allowed.
+    """
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        connect = loop.create_connection
+
+        async def connect_and_stop(*args: Any, **more: Any) -> Any:
+            connecting = asyncio.ensure_future(connect(*args, **more))
+            await asyncio.sleep(0)  # the kernel establishes the connection while the process is stopped
+            time.sleep(stopped_s)
+            return await connecting
+
+        upstream = FakeUpstream("s-1")
+        await upstream.start()
+        upstreams = Upstreams(replace(SETTINGS.limits, connect_timeout_ns=60_000_000_000), 8, ())
+        upstreams.pool.handshakes.record(0.001)
+        upstreams.pool.update_endpoints([ResolvedEndpoint(Endpoint(1), "127.0.0.1", upstream.port)], True)
+        monkeypatch.setattr(loop, "create_connection", connect_and_stop)
+        ended: asyncio.Future[AttemptResult] = loop.create_future()
+        upstreams.start_attempt(
+            1, b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", None, lambda result, *_: ended.set_result(result)
+        )
+        assert await asyncio.wait_for(ended, LIMIT_S) is AttemptResult.OK
+        upstreams.close()
+        upstream.stop()
+
+    run(test())
