The watchdog passes on early signals and reads waiting deadlines at its start

Seen by callers of `lanelift lease run`: a signal in the moment in which the command started ended the watchdog, and the command with it; on a busy machine a command was not run (75) though the lease was held.

Cause: handlers were installed after the command's start, and the first deadline was looked at before later ones on standard input were read.

Change: the handlers come first, early signals are kept and passed on, and waiting input is read before the first look at the time. Why this works: no moment is left in which a command runs without handlers, and the holder writes renewals to the pipe before the watchdog is there to read them.

--- a/lanelift/leases/watchdog.py
+++ b/lanelift/leases/watchdog.py
@@ -50,28 +50,16 @@
         kill_ns: When SIGKILL is sent, on CLOCK_BOOTTIME.
         command: Program and arguments.
     """
-    if time.clock_gettime_ns(time.CLOCK_BOOTTIME) >= term_ns:
+    watchdog = Watchdog(term_ns, kill_ns)
+    watchdog.read_waiting_input()
+    if not watchdog.may_start(time.clock_gettime_ns(time.CLOCK_BOOTTIME)):
         return NOT_HELD
-    # the library is loaded before the fork, since loading it after the fork is unsafe
-    libc = ctypes.CDLL(None, use_errno=True)
-    watchdog_pid = os.getpid()
-
-    def die_with_watchdog() -> None:
-        libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
-        if os.getppid() != watchdog_pid:  # the watchdog died between the fork and the call
-            os._exit(NOT_HELD)
-
     try:
-        child = subprocess.Popen(
-            command, stdin=subprocess.DEVNULL, start_new_session=True, preexec_fn=die_with_watchdog
-        )
+        watchdog.start(command)
     except OSError as error:
         print(f"{command[0]}: {error.strerror}", file=sys.stderr)
         return NO_COMMAND
-    sys.stdout.write(f"{child.pid}\n")
-    sys.stdout.flush()
-    sys.stdout.close()
-    return Watchdog(child, term_ns, kill_ns).run()
+    return watchdog.run()
 
 
 def run_from_arguments() -> int:
@@ -80,26 +68,29 @@
 
 
 class Watchdog:
-    """Enforces the deadlines of one running command.
+    """Starts one command and enforces its deadlines.
+
+    Signals that come before the command is running are passed on once it is.
 
     Attributes:
+        child: The command's process, which is the leader of its process group; None before its start.
         term_ns: When SIGTERM is sent, on CLOCK_BOOTTIME; None after it was sent.
         kill_ns: When SIGKILL is sent, on CLOCK_BOOTTIME; None after it was sent.
         ended_command: Whether this watchdog has begun to end the command.
     """
 
-    def __init__(self, child: subprocess.Popen[bytes], term_ns: int, kill_ns: int) -> None:
+    def __init__(self, term_ns: int, kill_ns: int) -> None:
         """Installs the signal handlers of this process.
 
         Args:
-            child: The command's process, which is the leader of its process group.
             term_ns: See the class.
             kill_ns: See the class.
         """
-        self.child = child
+        self.child: subprocess.Popen[bytes] | None = None
         self.term_ns: int | None = term_ns
         self.kill_ns: int | None = kill_ns
         self.ended_command = False
+        self._early_signals: list[int] = []
         self._stdin_open = True
         self._partial_input = b""
         self._wakeup, wakeup_writer = os.pipe()  # any signal makes `select` return
@@ -109,8 +100,49 @@
             signal.signal(number, lambda number, frame: self._signal_group(number))
         signal.signal(signal.SIGCHLD, lambda number, frame: None)
 
+    def read_waiting_input(self) -> None:
+        """Handles the deadlines that wait on standard input; its end is left to `run`.
+
+        The start of this process may take longer than the time until its first deadline, while the holder
+        has renewed the lease and written later deadlines.
+        """
+        while select.select([STDIN], [], [], 0)[0]:
+            data = os.read(STDIN, MAX_READ_BYTES)
+            if not data:
+                return
+            self._receive(data)
+
+    def may_start(self, now: int) -> bool:
+        """Returns whether the command may be started: SIGTERM is not due yet."""
+        return self.term_ns is not None and now < self.term_ns
+
+    def start(self, command: list[str]) -> None:
+        """Starts the command, and writes its process id to standard output.
+
+        Raises:
+            OSError: The command can't be started.
+        """
+        # the library is loaded before the fork, since loading it after the fork is unsafe
+        libc = ctypes.CDLL(None, use_errno=True)
+        watchdog_pid = os.getpid()
+
+        def die_with_watchdog() -> None:
+            libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL, 0, 0, 0)
+            if os.getppid() != watchdog_pid:  # the watchdog died between the fork and the call
+                os._exit(NOT_HELD)
+
+        self.child = subprocess.Popen(
+            command, stdin=subprocess.DEVNULL, start_new_session=True, preexec_fn=die_with_watchdog
+        )
+        while self._early_signals:
+            self._signal_group(self._early_signals.pop(0))
+        sys.stdout.write(f"{self.child.pid}\n")
+        sys.stdout.flush()
+        sys.stdout.close()
+
     def run(self) -> int:
-        """Waits for the command to end and enforces its deadlines; returns the exit code."""
+        """Waits for the started command to end and enforces its deadlines; returns the exit code."""
+        assert self.child is not None
         while True:
             code = self.child.poll()
             if code is not None:
@@ -162,6 +194,10 @@
         self._signal_group(signal.SIGCONT)  # a stopped process can't act on SIGTERM
 
     def _signal_group(self, number: int) -> None:
+        if self.child is None:
+            if number not in self._early_signals:
+                self._early_signals.append(number)
+            return
         with suppress(ProcessLookupError, PermissionError):
             os.killpg(self.child.pid, number)
 
