Count and log why requests, connections and attempts are ended early

Change: EventLog counts each kind (balancer_events_total) and logs it once a second at most with the request's id. A kind appears in the metrics once it has occurred, so existing output is unchanged.

--- a/lanelift/net/attempts.py
+++ b/lanelift/net/attempts.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from lanelift.net.event_log import EventKind
 from lanelift.net.http_messages import Response
 from lanelift.net.load_reports import LoadReport
 from lanelift.net.metrics import FAULTED, FULFILLED, Metrics
@@ -102,7 +103,9 @@
             if result is AttemptResult.OK:
                 requests.answer(request, FULFILLED, lambda client: client.complete())
             else:
-                requests.answer(request, FAULTED, lambda client: client.abort_response())
+                if requests.answer(request, FAULTED, lambda client: client.abort_response()):
+                    detail = f"request {request.arrival.request}: {result.name}"
+                    self.runner.events.record(EventKind.RESPONSE_ABORTED, detail)
         elif result is AttemptResult.OK and response is not None and request.streaming_attempt is None:
             requests.answer(request, FULFILLED, lambda client: client.respond(response))
         body_consumed = request.upload is not None and request.upload.consumed
@@ -127,6 +130,7 @@
         settings: The settings, which limit attempts.
         requests: The open requests.
         post: Passes outcomes to the balancer.
+        events: Counts why attempts were ended early.
     """
 
     def __init__(
@@ -140,6 +144,7 @@
         self.settings = settings
         self.requests = requests
         self.post = post
+        self.events = metrics.events
         self._upstreams = upstreams
         self._metrics = metrics
 
--- a/lanelift/net/client_connection.py
+++ b/lanelift/net/client_connection.py
@@ -9,6 +9,7 @@
 
 from lanelift.net.client_responses import ClientResponses
 from lanelift.net.connection_phases import Phase
+from lanelift.net.event_log import EventKind
 from lanelift.net.headers import end_to_end_headers
 from lanelift.net.http_messages import MessageError, Request, decode_text
 from lanelift.net.http_parser import RequestParser
@@ -93,6 +94,7 @@
         self.received_bytes += len(data)
         may_not_parse = (self.request is not None and self.upload is None) or self.write_paused
         if may_not_parse and len(self.unparsed) > MAX_BUFFERED_BODY_BYTES:
+            self._record(EventKind.SENT_AHEAD, f"{len(self.unparsed)} bytes")
             self.abort()
             return
         self.unparsed += data
@@ -138,6 +140,7 @@
     def phase_timed_out(self) -> None:
         """Handles the time-out of the current phase."""
         if self.phase is Phase.READING_HEAD and self.has_data:
+            self._record(EventKind.HEAD_TIMEOUT)
             self._reject_input(408, "the request did not come in time")
         elif self.phase is Phase.READING_BODY and (
             self.reading_paused
@@ -145,8 +148,10 @@
         ):
             self._enter_body_phase()
         elif self.phase is Phase.READING_BODY:
+            self._record(EventKind.BODY_TIMEOUT, f"{self.received_bytes} bytes on this connection")
             self._abandon_request(408, "the body did not come in time")
         elif self.phase is Phase.FLUSHING:
+            self._record(EventKind.CLIENT_STALLED)
             self.abort_response()
         else:
             self.abort()
@@ -167,6 +172,7 @@
             elif parser.streamed_head is not None:
                 self._begin_request(parser.streamed_head, body_pending=True)
             elif parser.error is not None:
+                self._record(EventKind.INVALID_REQUEST, str(parser.error))
                 self._reject_input(parser.error.status, str(parser.error))
             elif not self._parse_slice():
                 self._await_rest()
@@ -214,6 +220,7 @@
         try:
             arrival = self._read_arrival(message, dict(message.headers), path, query, body_pending)
         except MessageError as error:
+            self._record(EventKind.INVALID_REQUEST, str(error))
             # If the message is complete, the connection stays usable.
             self._answer(error.status, [], f"{error}\n".encode(), last=body_pending)
             return
--- a/lanelift/net/client_responses.py
+++ b/lanelift/net/client_responses.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from lanelift.net.connection_phases import Phase
+from lanelift.net.event_log import EventKind
 from lanelift.net.exchange import Exchange
 from lanelift.net.headers import end_to_end_headers
 from lanelift.net.http_messages import Headers, Response, encode_message, encode_status
@@ -62,6 +63,11 @@
         self.is_last_response = False
         self._loop = asyncio.get_running_loop()
 
+    def _record(self, kind: EventKind, detail: str = "") -> None:
+        """Counts and logs why something is ended early, with the id of the open request."""
+        request = f"request {self.request.arrival.request}" if self.request is not None else "no open request"
+        self.frontend.dispatcher.metrics.events.record(kind, f"{request}; {detail}" if detail else request)
+
     # ---- the reading half --------------------------------------------------------------------------------
 
     @property
--- a/lanelift/net/dispatch.py
+++ b/lanelift/net/dispatch.py
@@ -83,7 +83,7 @@
         self.peers: PeerChannel | None = None
         self.loop = asyncio.get_running_loop()
         self.balancer = Balancer(settings, seed, time.monotonic_ns())
-        self.metrics = Metrics(settings.classes)
+        self.metrics = Metrics(settings.classes, upstreams.events)
         self.requests = RequestTable(self.metrics, self.post)
         self.attempts = AttemptRunner(settings, upstreams, self.requests, self.metrics, self.post)
         self.on_ready_changed: Callable[[], None] = lambda: None
--- a/lanelift/net/listener.py
+++ b/lanelift/net/listener.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from lanelift.net.client_connection import ClientConnection
+from lanelift.net.event_log import EventKind
 from lanelift.net.socket_options import peer_state
 
 if TYPE_CHECKING:
@@ -80,7 +81,11 @@
         table = self._frontend.table
         if len(table.clients) >= table.max_clients:
             evicted, retry_s = table.evict()
-            if not evicted:
+            if evicted:
+                self._frontend.dispatcher.metrics.events.record(
+                    EventKind.CLIENT_EVICTED, f"{len(table.clients)} clients"
+                )
+            else:
                 self.pause(retry_s)
             return False
         while len(table.clients) < table.max_clients:
--- a/lanelift/net/metrics.py
+++ b/lanelift/net/metrics.py
@@ -7,6 +7,8 @@
 
 from collections.abc import Iterable, Mapping
 
+from lanelift.net.event_log import EventLog
+
 # the outcomes of a request: answered, rejected, failed
 FULFILLED, THROTTLED, FAULTED = "fulfilled", "throttled", "faulted"
 PREFIX = "balancer_"
@@ -19,11 +21,13 @@
     Attributes:
         requests_ended: The number of requests by class and outcome (`FULFILLED`, `THROTTLED`, `FAULTED`).
         attempts_written: The number of attempts whose last byte was written to an upstream.
+        events: Counts why requests and connections were ended early.
     """
 
-    def __init__(self, classes: Iterable[str]) -> None:
+    def __init__(self, classes: Iterable[str], events: EventLog) -> None:
         self.requests_ended = {name: {FULFILLED: 0, THROTTLED: 0, FAULTED: 0} for name in classes}
         self.attempts_written = 0
+        self.events = events
 
     def text(self, gauges: Mapping[str, int]) -> str:
         """Returns all counters, and the given gauges, in the text format."""
@@ -35,6 +39,10 @@
                 for status, count in counts.items()
             ]
         rows += [f"# TYPE {PREFIX}relayed_total counter", f"{PREFIX}relayed_total {self.attempts_written}"]
+        counts_by_event = sorted(self.events.counts.items(), key=lambda row: row[0].value)
+        if counts_by_event:
+            rows.append(f"# TYPE {PREFIX}events_total counter")
+        rows += [f'{PREFIX}events_total{{event="{kind.value}"}} {count}' for kind, count in counts_by_event]
         for name, value in gauges.items():
             rows += [f"# TYPE {PREFIX}{name} gauge", f"{PREFIX}{name} {value}"]
         return "\n".join(rows) + "\n"
--- a/lanelift/net/upstreams.py
+++ b/lanelift/net/upstreams.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Collection
 
 from lanelift.net.connection_pool import ConnectionPool
+from lanelift.net.event_log import EventLog
 from lanelift.net.exchange import Exchange, ResponseSink
 from lanelift.net.http_messages import Headers, Response, encode_message
 from lanelift.net.load_reports import LoadReport, read_load_report
@@ -27,11 +28,13 @@
 
     Attributes:
         pool: The connections to the upstreams.
+        events: Counts why attempts and requests were ended early.
         report_fields: The names of the values in a load report.
         probe_path: The path of load probes.
     """
 
     def __init__(self, limits: Limits, max_connections: int, report_fields: Collection[str]) -> None:
+        self.events = EventLog()
         self.pool = ConnectionPool(limits, max_connections)
         self.report_fields = frozenset(report_fields)
         self.probe_path = b"/status/load" if report_fields else b"/health"
