A long response that pauses after its deadline is no longer cut off

Callers saw a reset 0.2 s after the deadline in the middle of a response of 150 to 199 kB that came in lumps. Cause: a streamed response of unknown length had to bring 1,600 bytes in each 0.2 s after its attempt's time-out until it was longer than 64 KiB, so a pause between two lumps ended it, though its bytes showed that it is no stuck short one. Change: the limits of streamed responses stand in one table and one function (policy/response_progress.py). The rate of 8,000 bytes a second is asked of the whole response so far, not of each 0.2 s; a stuck short one ends as before.

--- a/lanelift/net/attempts.py
+++ b/lanelift/net/attempts.py
@@ -73,7 +73,7 @@
             request.overdue_timer.cancel()
         if self.runner.settings.classes[request.arrival.class_name].streaming:
             # streamed responses of this class may never end, so their progress is not checked
-            exchange.progress_due_s = math.inf
+            exchange.timeout_at_s = math.inf
         request_id = request.arrival.request
         self.runner.post(ResponseStarted(request_id, self.number, self.upstream, self.duration_ns()))
         try:
--- a/lanelift/net/connection_phases.py
+++ b/lanelift/net/connection_phases.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Protocol
 
-from lanelift.net.exchange import CLIENT_STALL_TIMEOUT_S
+from lanelift.policy.response_progress import CLIENT_STALL_TIMEOUT_S
 
 
 class Phase(Enum):
--- a/lanelift/net/exchange.py
+++ b/lanelift/net/exchange.py
@@ -15,19 +15,11 @@
 from lanelift.net.message_parser import MAX_BUFFERED_BODY_BYTES
 from lanelift.net.upload import Upload
 from lanelift.policy.events import AttemptResult
+from lanelift.policy.response_progress import CLIENT_STALL_TIMEOUT_S, SILENCE_TIMEOUT_S, response_due_s
 
 if TYPE_CHECKING:
     from lanelift.net.upstream_connection import UpstreamConnection
 
-# While a response is streamed, an upstream that sends nothing for this long is given up.
-UPSTREAM_SILENCE_TIMEOUT_S = 10.0
-# A client that reads nothing of its response for this long is given up.
-CLIENT_STALL_TIMEOUT_S = 30.0
-# After the attempt's time-out, a streamed response without a stated length must deliver `MIN_PROGRESS_BYTES`
-# in each `MIN_PROGRESS_INTERVAL_S`, until the response is longer than `MAX_BUFFERED_BODY_BYTES`.
-MIN_PROGRESS_BYTES = 1600
-MIN_PROGRESS_INTERVAL_S = 0.2
-
 
 class ResponseSink(Protocol):
     """The receiver of a streamed response; the response's end is reported as the exchange's outcome."""
@@ -42,15 +34,8 @@
 class Exchange:
     """A request and its outcome, which is reported exactly once: OK with a response, or the kind of failure.
 
-    With a `sink`, a response that is too long to be buffered is streamed: from `start_streaming` on the only
-    time-outs are `UPSTREAM_SILENCE_TIMEOUT_S` and `CLIENT_STALL_TIMEOUT_S`, and the outcome OK has a response
-    without a body.
-
-    Failure guarded against: a streamed response without a stated length may be a short one that never ends
-    (a corrupt or stuck upstream), and its client would wait for ever. So after the attempt's time-out such a
-    response has to make progress (`MIN_PROGRESS_BYTES` in each `MIN_PROGRESS_INTERVAL_S`) until it is longer
-    than `MAX_BUFFERED_BODY_BYTES`, or it is given up. A response with a stated length is known to be long,
-    and is given up only if it makes no progress at all.
+    With a `sink`, a response that is too long to be buffered is streamed: from `start_streaming` on the
+    limits of `lanelift.policy.response_progress` apply, and the outcome OK has a response without a body.
 
     Attributes:
         request: The bytes to write: the head, and the body unless the body is an `upload`.
@@ -67,11 +52,13 @@
         streaming: Whether the response is being streamed.
         paused: Whether the sink accepts no more of the streamed response for now.
         last_progress_s: The time at which part of the response was last forwarded, on the loop's clock.
-        progress_due_s: When the response must be complete or must have made progress, on the loop's clock.
+        streaming_since_s: When the response began to be streamed, moved on by the time in which the sink was
+            paused, on the loop's clock.
+        timeout_at_s: The attempt's time-out as it limits the streamed response (`response_due_s`).
+        paused_at_s: When the sink was paused, on the loop's clock.
         distrust_until_s: Bytes received before this time (loop's clock) are not accepted as the response:
             they may belong to the previous response on the connection.
         streamed_bytes: The number of bytes forwarded so far.
-        streamed_bytes_at_check: The value of `streamed_bytes` at the last check of progress.
     """
 
     __slots__ = (
@@ -82,12 +69,13 @@
         "on_finished",
         "on_written",
         "paused",
-        "progress_due_s",
+        "paused_at_s",
         "request",
         "sink",
         "streamed_bytes",
-        "streamed_bytes_at_check",
         "streaming",
+        "streaming_since_s",
+        "timeout_at_s",
         "timer",
         "unread_ns",
         "upload",
@@ -116,9 +104,11 @@
         self.streaming = False
         self.paused = False
         self.last_progress_s = 0.0
-        self.progress_due_s = math.inf
+        self.streaming_since_s = 0.0
+        self.timeout_at_s = math.inf
+        self.paused_at_s = 0.0
         self.distrust_until_s = 0.0
-        self.streamed_bytes = self.streamed_bytes_at_check = 0
+        self.streamed_bytes = 0
 
     # ---- time-outs ---------------------------------------------------------------------------------------
 
@@ -129,7 +119,7 @@
 
     def expire_without_progress(self) -> None:
         """Sets the time-out for an upstream that accepts no more of the request."""
-        self.expire_in(UPSTREAM_SILENCE_TIMEOUT_S)
+        self.expire_in(SILENCE_TIMEOUT_S)
 
     def cancel_timeout(self) -> None:
         """Cancels the current time-out."""
@@ -164,9 +154,9 @@
         """Starts to stream the response."""
         self.streaming = True
         if self.timer is not None and head.header(b"content-length") is None:
-            self.progress_due_s = self.timer.when()
+            self.timeout_at_s = self.timer.when()
         self.cancel_timeout()
-        self.last_progress_s = asyncio.get_running_loop().time()
+        self.last_progress_s = self.streaming_since_s = asyncio.get_running_loop().time()
         self._check_progress()
         assert self.sink is not None
         self.sink.start_response(head)
@@ -174,20 +164,17 @@
     def _check_progress(self) -> None:
         """Gives up a streamed response without enough progress, or sets the timer of the next check."""
         loop = asyncio.get_running_loop()
-        now = loop.time()
-        timeout_s = CLIENT_STALL_TIMEOUT_S if self.paused else UPSTREAM_SILENCE_TIMEOUT_S
-        until = self.last_progress_s + timeout_s
-        if not self.paused and self.progress_due_s <= now:
-            may_be_short = self.streamed_bytes <= MAX_BUFFERED_BODY_BYTES
-            if may_be_short and self.streamed_bytes - self.streamed_bytes_at_check < MIN_PROGRESS_BYTES:
-                until = now
-            self.streamed_bytes_at_check = self.streamed_bytes
-            self.progress_due_s = now + MIN_PROGRESS_INTERVAL_S if may_be_short else math.inf
-        if until <= now:
+        if self.paused:
+            until_s = self.last_progress_s + CLIENT_STALL_TIMEOUT_S
+        else:
+            until_s = min(
+                self.last_progress_s + SILENCE_TIMEOUT_S,
+                response_due_s(self.streamed_bytes, self.streaming_since_s, self.timeout_at_s),
+            )
+        if until_s <= loop.time():
             self.give_up(AttemptResult.TIMEOUT)
         else:
-            next_check_s = until if self.paused else min(until, self.progress_due_s)
-            self.timer = loop.call_at(next_check_s, self._check_progress)
+            self.timer = loop.call_at(until_s, self._check_progress)
 
     def forward(self, data: bytes) -> None:
         """Passes a piece of the streamed response to the sink."""
@@ -198,18 +185,21 @@
 
     def pause(self) -> None:
         """Pauses reading the response, as the sink accepts no further pieces for now."""
+        if not self.paused:
+            self.paused_at_s = asyncio.get_running_loop().time()
         self.paused = True
         if self.connection is not None and self.connection.transport is not None:
             self.connection.transport.pause_reading()
 
     def resume(self) -> None:
         """Resumes reading the response, as the sink accepts pieces again."""
-        self.paused = False
         self.last_progress_s = asyncio.get_running_loop().time()
-        if self.progress_due_s < math.inf and self.on_finished is not None:
-            # No progress was possible while the response was paused, so the interval starts again.
-            self.streamed_bytes_at_check = self.streamed_bytes
-            self.progress_due_s = max(self.progress_due_s, self.last_progress_s + MIN_PROGRESS_INTERVAL_S)
+        if self.paused:
+            # no progress was possible while the response was paused
+            self.streaming_since_s += self.last_progress_s - self.paused_at_s
+            self.timeout_at_s = max(self.timeout_at_s, self.last_progress_s)
+        self.paused = False
+        if self.timeout_at_s < math.inf and self.on_finished is not None:
             self.cancel_timeout()
             self._check_progress()
         if self.connection is not None and self.connection.transport is not None:
--- /dev/null
+++ b/lanelift/policy/response_progress.py
@@ -0,0 +1,37 @@
+"""How long a streamed response may take: who is timed, by what, and from when.
+
+| response | until | limit |
+| --- | --- | --- |
+| being received, not streamed yet | its last byte, or the start of streaming | the attempt's time-out |
+| streamed, length stated | its last byte | `SILENCE_TIMEOUT_S` without a byte |
+| streamed, length unknown, at most `SHORT_RESPONSE_BYTES` so far | it is longer than that | the attempt's time-out, or the time that its bytes take at `MIN_RATE_BYTES_PER_S` if that is later, and `LATE_ANSWER_GRACE_S` more; also the line above |
+| streamed, length unknown, longer than that | its last byte | `SILENCE_TIMEOUT_S` without a byte |
+| streamed, and its client does not read | the client reads on | `CLIENT_STALL_TIMEOUT_S` without progress; the other limits are suspended |
+
+A response without a stated length may be a short one that never ends, because its upstream is stuck, or a long one
+that pauses. The bytes received so far tell them apart: the more there are, the longer it may pause.
+"""  # noqa: E501  (a table)
+
+from __future__ import annotations
+
+import math
+
+SHORT_RESPONSE_BYTES = 64 * 1024
+MIN_RATE_BYTES_PER_S = 8000.0
+LATE_ANSWER_GRACE_S = 0.2
+SILENCE_TIMEOUT_S = 10.0
+CLIENT_STALL_TIMEOUT_S = 30.0
+
+
+def response_due_s(received_bytes: int, started_s: float, timeout_at_s: float) -> float:
+    """Returns when a streamed response of unknown length must have ended, or have brought more bytes.
+
+    Args:
+        received_bytes: The number of bytes of the body received so far.
+        started_s: When the response began to be streamed, moved on by the time in which its client did not
+            read.
+        timeout_at_s: The attempt's time-out; infinite if the length is stated.
+    """
+    if received_bytes > SHORT_RESPONSE_BYTES or timeout_at_s == math.inf:
+        return math.inf
+    return max(timeout_at_s, started_s + received_bytes / MIN_RATE_BYTES_PER_S) + LATE_ANSWER_GRACE_S
