A large request that its upstream reads slowly is answered in time

Callers got 504 after 3.7 s for 402 ms, or nothing within 4.3 s, when an upstream read a large request slowly or stopped. Cause: the deadline began when the last byte was read here, and reading waits for the upstream; the limits that were left are 10 s of silence. Change: policy/upload_deadline.py tracks the last time at which the client had certainly not written its last byte, from received and unread bytes; it is checked every 25 ms while a body is streamed, also while the request waits for an upstream, and the same estimate starts the deadline at the body's end. The kernel's buffers of such a connection are limited, which bounds what is hidden. The check also notices a client that left while reading waits.

--- a/lanelift/net/client_connection.py
+++ b/lanelift/net/client_connection.py
@@ -24,9 +24,10 @@
 )
 from lanelift.net.requests import OpenRequest
 from lanelift.net.shutdown import FINAL_ANSWER_MARGIN_S
-from lanelift.net.socket_options import peer_state
+from lanelift.net.socket_options import limit_kernel_buffers, peer_state, unread_bytes
 from lanelift.net.upload import Upload
 from lanelift.policy.events import RequestArrived
+from lanelift.policy.upload_deadline import UploadDeadline
 
 if TYPE_CHECKING:
     from lanelift.net.frontend import Frontend
@@ -35,6 +36,8 @@
 ANSWER_MARGIN_NS = 3_000_000
 # The parser gets at most this many bytes at a time, as pipelined requests take less memory unparsed.
 PARSE_SLICE_BYTES = 16 * 1024
+# how often the deadline of a streamed body is checked
+UPLOAD_CHECK_S = 0.025
 # The time-out of a body starts again only if at least this many bytes were received since the time-out last
 # started.
 MIN_BODY_PROGRESS_BYTES = 16 * 1024
@@ -229,7 +232,11 @@
         self.request = request
         if body_pending:
             length = next((int(value) for name, value in message.headers if name == b"content-length"), None)
-            self.upload = request.upload = Upload(self._set_reading, self._is_connected, length)
+            deadline = UploadDeadline(self.received_ns, max(0, self.wait_ns - ANSWER_MARGIN_NS), length)
+            self.upload = request.upload = Upload(self._set_reading, self._is_connected, length, deadline)
+            assert self.transport is not None
+            limit_kernel_buffers(self.transport)
+            self._loop.call_later(UPLOAD_CHECK_S, self._check_upload, self.upload)
             self._enter_body_phase()
         else:
             self.table.leave(self)
@@ -272,17 +279,42 @@
         if parser.messages:
             parser.messages.popleft()
             parser.finish_streamed()
+            upload.deadline.complete(self.received_ns)
             self._detach_upload()
             self.table.leave(self)
             assert self.request is not None
-            deadline_ns = self.received_ns + max(0, self.wait_ns - ANSWER_MARGIN_NS)
-            self.dispatcher.body_received(self.request, deadline_ns)
+            self.dispatcher.body_received(self.request, upload.deadline.due_ns)
             return False
         if parser.error is not None:
             self._abandon_request(parser.error.status, str(parser.error))
             return False
         return not self.reading_paused and self._parse_slice()
 
+    def _observe_upload(self, upload: Upload) -> None:
+        """Updates the estimate of when the answer is due.
+
+        Failure guarded against: while the upstream accepts no more of the body, reading waits, and the client
+        may have written its last byte long before it is read. Its time would seem not to have begun.
+        """
+        assert self.transport is not None
+        now = time.monotonic_ns()
+        age_ns = peer_state(self.transport.get_extra_info("socket"))[1]
+        upload.deadline.observe(
+            now, now - age_ns, self.parser.streamed_bytes, len(self.unparsed), unread_bytes(self.transport)
+        )
+
+    def _check_upload(self, upload: Upload) -> None:
+        """Fails the open request if its answer is due while its body is still being forwarded."""
+        if self.upload is not upload or self.request is None:
+            return
+        self._observe_upload(upload)
+        if not self._is_connected():
+            return
+        if time.monotonic_ns() >= upload.deadline.due_ns:
+            self.dispatcher.requests.fail_overdue_upload(self.request)
+        else:
+            self._loop.call_later(UPLOAD_CHECK_S, self._check_upload, upload)
+
     def _set_reading(self, enabled: bool) -> None:
         """Resumes reading when the upstream accepts more of the body, and else pauses reading."""
         if self.upload is None or self.reading_paused is not enabled or self.transport is None:
--- a/lanelift/net/message_parser.py
+++ b/lanelift/net/message_parser.py
@@ -126,6 +126,11 @@
             if self._streamed_bytes > MAX_STREAMED_BODY_BYTES:
                 self._fail(413, "the body is too large")
 
+    @property
+    def streamed_bytes(self) -> int:
+        """The number of bytes of the streamed body received so far."""
+        return self._streamed_bytes
+
     def take_body(self) -> bytes:
         """Returns the part of the streamed body that was received since the last call."""
         parts, self._body_parts = self._body_parts, []
--- a/lanelift/net/requests.py
+++ b/lanelift/net/requests.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from lanelift.net.event_log import EventKind
 from lanelift.net.exchange import Exchange
 from lanelift.net.http_messages import Headers
 from lanelift.net.interfaces import Client
@@ -150,6 +151,20 @@
             if request is not None and self.answer(request, FAULTED, lambda client: client.fail(502)):
                 self._post(ClientDisconnected(name))
 
+    def fail_overdue_upload(self, request: OpenRequest) -> None:
+        """Fails a request whose answer is due before its upstream has accepted the body.
+
+        No attempt of it was written whole, so it has not run.
+        """
+        if request.streaming_attempt is None and self.answer(
+            request, FAULTED, lambda client: client.fail(504)
+        ):
+            self._metrics.events.record(
+                EventKind.UPLOAD_OVERDUE,
+                f"request {request.arrival.request}: {len(request.attempts)} attempts",
+            )
+            self._post(ClientDisconnected(request.arrival.request))
+
     def fail_all(self) -> None:
         """Fails all open requests and resets streamed responses, as the process is about to end."""
         for request in list(self.by_id.values()):
--- a/lanelift/net/socket_options.py
+++ b/lanelift/net/socket_options.py
@@ -50,14 +50,19 @@
 
 def has_unread_data(transport: asyncio.BaseTransport | None) -> bool:
     """Returns whether received data is unread; closing the socket then would reset the connection."""
+    return unread_bytes(transport) > 0
+
+
+def unread_bytes(transport: asyncio.BaseTransport | None) -> int:
+    """Returns how many received bytes wait in the kernel; 0 if the socket is closed."""
     sock = transport.get_extra_info("socket") if transport is not None else None
     count = array.array("i", [0])
     try:
         if sock is not None:
             fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
     except OSError:
-        return False  # the socket is closed already
-    return count[0] > 0
+        return 0  # the socket is closed already
+    return count[0]
 
 
 def is_quiescent(transport: asyncio.BaseTransport) -> bool:
--- a/lanelift/net/upload.py
+++ b/lanelift/net/upload.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from lanelift.policy.upload_deadline import UploadDeadline
+
 if TYPE_CHECKING:
     from lanelift.net.upstream_connection import UpstreamConnection
 
@@ -28,6 +30,7 @@
         complete: Whether the last byte was received.
         consumed: Whether a connection was attached, after which the request can't be sent again.
         connection: The attached connection.
+        deadline: When the answer is due while the last byte of the body is unread.
     """
 
     __slots__ = (
@@ -35,6 +38,7 @@
         "complete",
         "connection",
         "consumed",
+        "deadline",
         "is_client_connected",
         "length_bytes",
         "set_reading",
@@ -45,10 +49,12 @@
         set_reading: Callable[[bool], None],
         is_client_connected: Callable[[], bool],
         length_bytes: int | None,
+        deadline: UploadDeadline,
     ) -> None:
         self.set_reading = set_reading
         self.is_client_connected = is_client_connected
         self.length_bytes = length_bytes
+        self.deadline = deadline
         self.buffered: list[bytes] = []
         self.complete = False
         self.consumed = False
--- a/lanelift/policy/__init__.py
+++ b/lanelift/policy/__init__.py
@@ -38,6 +38,9 @@
 Hedging              hedging.py             expected time, deviation           DURATION_MARGIN, DEVIATIONS
 Giving up            deadlines.py           objective, deadline, expected time DURATION_MARGIN,
                                                                                MIN_WAIT_DIVISOR
+Giving up: uploads   upload_deadline.py     unread and received bytes, time    OPEN_WINDOW_BYTES,
+                                                                               MAX_HIDDEN_BYTES
+Streamed responses   response_progress.py   received bytes, times              the table at its head
 Final answers        answers.py             legality, denial                   legality.may_reject
 Outcomes             outcomes.py            results, durations of attempts     FAILURE_EJECTION_NS
 Outlier ejection     ejection.py            failures, resets, errors           ERROR_EJECTION_RATE,
--- a/tests/robustness/test_long_messages.py
+++ b/tests/robustness/test_long_messages.py
@@ -109,14 +109,17 @@
     run(test())
 
 
+@pytest.mark.parametrize("encode", [with_length, in_chunks])
 @pytest.mark.parametrize("pause_s", [0.05, 0.9])
-def test_a_request_whose_client_writes_slowly_is_served(tmp_path: Path, pause_s: float) -> None:
+def test_a_request_whose_client_writes_slowly_is_served(
+    tmp_path: Path, pause_s: float, encode: Callable[[str, bytes], bytes]
+) -> None:
     """A client pauses for longer than its deadline within a large request; its time has not begun."""
 
     async def test() -> None:
         async with daemon(tmp_path, [Upstream("s-0")]) as balancer:
             reader, writer = await asyncio.open_connection(*balancer.address)
-            request = with_length("slow", BODY[:200_000])
+            request = encode("slow", BODY[:200_000])
             for at in range(0, len(request), 50_000):
                 writer.write(request[at : at + 50_000])
                 await asyncio.sleep(pause_s)
