What peers send is kept under one limit that follows from the process's memory

Callers saw a node pass its memory limit. Cause: limits.memory_mb was not read, and each connection had bounds of its own (64 KiB of a body, 64 KiB and one read of up to 256 KiB of input sent ahead, heads of 4,000 fields that take 50 times their size, one read and 64 KiB of each response), which 500 clients multiply to 50 to 250 MB. Change: policy/memory.py derives a limit for all connections together from limits.memory_mb and the resident memory at the start. net/memory.py sums up what is kept each time a sixteenth of it was received; over the limit responses that are being buffered are streamed early, and then the oldest clients whose requests are not forwarded are rejected (503). Reads are 64 KiB, and 4 KiB once half of the limit is used up; a head has 100 headers at most (431); pipelined heads are parsed one by one; streamed responses pause as soon as any part waits; send buffers of the kernel take a buffered message whole; a request's bytes are dropped once they are written; a short response that is streamed early keeps its deadline. Input sent ahead of an answer may have 256 KiB (64 KiB and a read before). Two tests knew how this was done: one finds an attempt's exchange by its sink, as its bytes are dropped when written; one sets its small send buffer after connection_made, which now sets one. Both check what they did before. Chunks of one byte still delay others.

--- a/lanelift/daemon.py
+++ b/lanelift/daemon.py
@@ -38,7 +38,9 @@
         self._loop = asyncio.get_running_loop()
         self._max_clients, max_connections = connection_caps(config.sockets, 1)
         settings = config.settings
-        self._upstreams = Upstreams(settings.limits, max_connections, settings.load_report_fields)
+        self._upstreams = Upstreams(
+            settings.limits, max_connections, settings.load_report_fields, config.memory_bytes
+        )
         self._dispatcher = Dispatcher(settings, config.seed, self._upstreams)
         self._fleet: Any = None
         self._discovery: Any = None
--- a/lanelift/daemon_config.py
+++ b/lanelift/daemon_config.py
@@ -10,10 +10,13 @@
 from lanelift.net.addresses import Address, split_address
 from lanelift.net.dispatch import Dispatcher
 from lanelift.net.endpoint_list import read_endpoint_list
+from lanelift.net.memory import DEFAULT_MEMORY_BYTES
 from lanelift.policy.settings import Settings
 from lanelift.settings import Json, SettingsError, check_type, optional, read_settings, require
 
 DEFAULT_SOCKETS = 1024
+BYTES_PER_MB = 1024 * 1024
+MIN_MEMORY_MB, MAX_MEMORY_MB = 1, 1 << 20
 # Descriptors reserved for the listener, discovery (an old and a new connection), peers, the configuration and
 # the interpreter, and for sockets that were closed in this loop iteration and still count as open.
 RESERVED_SOCKETS = 32
@@ -39,6 +42,7 @@
         discovery: The source of the endpoint list: a discovery server's address, or the operator's own file.
         seed: Seed of all random choices.
         sockets: The largest number of descriptors that the process may have.
+        memory_bytes: The largest memory that the process may have; it is ended if it has more.
         settings: The balancer's settings.
         cached_endpoints: The last known endpoint list, in discovery's format.
         peer_listen: The address at which messages from other replicas arrive.
@@ -63,6 +67,7 @@
     operator: Address | None = None
     inherited: int | None = None
     fleet: Source | None = None
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -88,9 +93,13 @@
     if cached_endpoints is not None:
         read_endpoint_list(cached_endpoints)
     peers = [split_address(check_type(peer, "peers", str)) for peer in optional(raw, "peers", list, [])]
-    sockets = optional(optional(raw, "limits", dict, {}), "sockets", int, DEFAULT_SOCKETS)
+    limits = optional(raw, "limits", dict, {})
+    sockets = optional(limits, "sockets", int, DEFAULT_SOCKETS)
     if sockets < 2 * RESERVED_SOCKETS:
         raise SettingsError(f"limits.sockets must be {2 * RESERVED_SOCKETS} or more")
+    memory_mb = optional(limits, "memory_mb", float, DEFAULT_MEMORY_BYTES / BYTES_PER_MB)
+    if not MIN_MEMORY_MB <= memory_mb <= MAX_MEMORY_MB:
+        raise SettingsError(f"limits.memory_mb must be from {MIN_MEMORY_MB} to {MAX_MEMORY_MB}")
     inherited = environ.get("BALANCER_FD")
     if inherited is not None and not inherited.isdecimal():
         raise SettingsError(f"BALANCER_FD is {inherited!r}, and must be the number of a descriptor")
@@ -107,6 +116,7 @@
         None,
         address("operator"),
         int(inherited) if inherited else None,
+        memory_bytes=int(memory_mb * BYTES_PER_MB),
     )
 
 
--- a/lanelift/net/client_connection.py
+++ b/lanelift/net/client_connection.py
@@ -13,7 +13,7 @@
 from lanelift.net.headers import end_to_end_headers
 from lanelift.net.http_messages import MessageError, Request, decode_text
 from lanelift.net.http_parser import RequestParser
-from lanelift.net.message_parser import MAX_BUFFERED_BODY_BYTES
+from lanelift.net.memory import READ_BUFFER
 from lanelift.net.request_head import (
     REPLACED_HEADERS,
     read_class_name,
@@ -36,6 +36,9 @@
 ANSWER_MARGIN_NS = 3_000_000
 # The parser gets at most this many bytes at a time, as pipelined requests take less memory unparsed.
 PARSE_SLICE_BYTES = 16 * 1024
+HEAD_END = b"\r\n\r\n"
+# What a client may send ahead while its request is open.
+MAX_PIPELINED_BYTES = 256 * 1024
 # how often the deadline of a streamed body is checked
 UPLOAD_CHECK_S = 0.025
 # The time-out of a body starts again only if at least this many bytes were received since the time-out last
@@ -43,7 +46,7 @@
 MIN_BODY_PROGRESS_BYTES = 16 * 1024
 
 
-class ClientConnection(ClientResponses):
+class ClientConnection(ClientResponses, asyncio.BufferedProtocol):
     """A client's connection, which carries one request at a time.
 
     Attributes:
@@ -65,6 +68,45 @@
         self.wait_ns = 0
         self.received_bytes = self.received_bytes_at_check = 0
 
+    # ---- memory ------------------------------------------------------------------------------------------
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes that this connection keeps of its requests and responses."""
+        total = len(self.unparsed) + self.parser.buffered_bytes
+        if self.transport is not None:
+            total += self.transport.get_write_buffer_size()
+        if self.request is not None:
+            total += len(self.request.body)
+        if self.upload is not None:
+            total += sum(map(len, self.upload.buffered))
+        return total
+
+    @property
+    def may_give_way(self) -> bool:
+        """Whether this client may be evicted: its request is incomplete and no upstream has any of it, or it
+        has sent requests ahead, one of which may be open."""
+        if self.ignores_input or self.source is not None:
+            return False
+        if self.upload is not None:
+            return not self.upload.consumed
+        return bool(self.unparsed) or self.parser.has_partial
+
+    def evict(self) -> None:
+        """Frees the memory that this client takes.
+
+        An incomplete request is rejected: it was not forwarded. A client that has sent requests ahead is
+        disconnected, as no request can be answered before the open one.
+        """
+        if self.request is not None and self.upload is None:
+            self._record(EventKind.SENT_AHEAD, f"{len(self.unparsed)} bytes, and memory is short")
+            self.abort()
+            self._disconnected()
+        else:
+            self._abandon_request(503, "refused")
+        self.unparsed.clear()
+        self.parser.drop_partial()
+
     @property
     def has_data(self) -> bool:
         """Whether part of a request has been received."""
@@ -77,7 +119,11 @@
         self.transport = cast(asyncio.Transport, transport)
         self.table.enter(self, Phase.READING_HEAD)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read."""
+        return READ_BUFFER[: self.frontend.memory.read_bytes]
+
+    def buffer_updated(self, count: int) -> None:
         """Receives bytes from the client.
 
         The kernel is queried for when the bytes arrived and whether the client is still connected. Deadlines
@@ -94,14 +140,17 @@
             self.abort()
             return
         self.received_ns = time.monotonic_ns() - age_ns
-        self.received_bytes += len(data)
+        self.received_bytes += count
         may_not_parse = (self.request is not None and self.upload is None) or self.write_paused
-        if may_not_parse and len(self.unparsed) > MAX_BUFFERED_BODY_BYTES:
+        if may_not_parse and len(self.unparsed) > MAX_PIPELINED_BYTES:
             self._record(EventKind.SENT_AHEAD, f"{len(self.unparsed)} bytes")
             self.abort()
             return
-        self.unparsed += data
+        if not self.has_data:
+            self.waiting_since_s = self._loop.time()
+        self.unparsed += READ_BUFFER[:count]
         self._parse()
+        self.frontend.memory.received(count)
 
     def eof_received(self) -> bool:
         """Treats a client that has ended its sending as disconnected."""
@@ -184,8 +233,9 @@
     def _parse_slice(self) -> bool:
         """Parses one slice of the received bytes; returns False if nothing is left."""
         if self.unparsed:
-            data = bytes(self.unparsed[:PARSE_SLICE_BYTES])
-            del self.unparsed[:PARSE_SLICE_BYTES]
+            size = self._slice_bytes()
+            data = bytes(self.unparsed[:size])
+            del self.unparsed[:size]
             self.parser.feed(data)
             return True
         if self.parser.expects_continue:
@@ -193,6 +243,13 @@
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return False
 
+    def _slice_bytes(self) -> int:
+        """Returns how much to parse next: at the start of a request its head alone, if that is complete."""
+        if self.parser.has_partial:
+            return PARSE_SLICE_BYTES
+        end = self.unparsed.find(HEAD_END, 0, PARSE_SLICE_BYTES)
+        return PARSE_SLICE_BYTES if end < 0 else end + len(HEAD_END)
+
     def _await_rest(self) -> None:
         """Starts the time-out for the rest of an incomplete request, after all received bytes were parsed."""
         if self.phase is Phase.IDLE and self.has_data:
--- a/lanelift/net/client_responses.py
+++ b/lanelift/net/client_responses.py
@@ -25,7 +25,7 @@
 MAX_FILL_FOR_OWN_ANSWERS, MAX_FILL = 0.75, 0.9
 
 
-class ClientResponses(asyncio.Protocol):
+class ClientResponses(asyncio.BaseProtocol):
     """Writes the responses to one client; `ClientConnection` is the reading half.
 
     Attributes:
@@ -44,6 +44,7 @@
         reads_chunks: Whether the client accepts chunked responses.
         source: The exchange whose response is streamed to the client.
         is_last_response: Whether the current response is the last on this connection.
+        waiting_since_s: When the request that is being received began, on the loop's clock.
     """
 
     def __init__(self, frontend: Frontend) -> None:
@@ -61,6 +62,7 @@
         self.reads_chunks = False
         self.source: Exchange | None = None
         self.is_last_response = False
+        self.waiting_since_s = 0.0
         self._loop = asyncio.get_running_loop()
 
     def _record(self, kind: EventKind, detail: str = "") -> None:
@@ -70,6 +72,20 @@
 
     # ---- the reading half --------------------------------------------------------------------------------
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes that this connection keeps of its requests and responses."""
+        raise NotImplementedError
+
+    @property
+    def may_give_way(self) -> bool:
+        """Whether this client may be evicted when memory is short."""
+        raise NotImplementedError
+
+    def evict(self) -> None:
+        """Frees the memory that this client takes."""
+        raise NotImplementedError
+
     @property
     def has_data(self) -> bool:
         """Whether part of a request has been received."""
@@ -135,6 +151,8 @@
             rows.append((b"Transfer-Encoding", b"chunked"))
         else:
             self.keep_alive = False  # the end of the connection marks the end of the response
+        # A piece of which any part is left waits here, and the next one is read when it is written.
+        self.transport.set_write_buffer_limits(high=0)
         self._write_head(200, rows, False, True)
         limit_kernel_buffers(self.transport)
         if self.write_paused:
--- a/lanelift/net/connection_phases.py
+++ b/lanelift/net/connection_phases.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import Protocol
 
+from lanelift.net.memory import BufferingClient
 from lanelift.policy.response_progress import CLIENT_STALL_TIMEOUT_S
 
 
@@ -44,7 +45,7 @@
 )
 
 
-class TrackedConnection(Protocol):
+class TrackedConnection(BufferingClient, Protocol):
     """The part of a client's connection that the table uses."""
 
     phase: Phase | None
--- a/lanelift/net/connection_pool.py
+++ b/lanelift/net/connection_pool.py
@@ -12,6 +12,7 @@
 from lanelift.net.endpoints import ResolvedEndpoint
 from lanelift.net.exchange import Exchange
 from lanelift.net.handshakes import HandshakeEstimator, HandshakeTimer
+from lanelift.net.memory import MemoryGuard
 from lanelift.net.socket_options import is_quiescent
 from lanelift.net.upstream_connection import UpstreamConnection
 from lanelift.policy.events import AttemptResult, EndpointState
@@ -60,9 +61,11 @@
         mean_response_s: The smoothed response time, in seconds.
         open_connections: The number of connections, including those that are being opened.
         connect_tasks: The tasks of handshakes in progress.
+        connections: The established connections.
+        memory: Limits what the connections buffer.
     """
 
-    def __init__(self, limits: Limits, max_connections: int) -> None:
+    def __init__(self, limits: Limits, max_connections: int, memory: MemoryGuard | None = None) -> None:
         self.connect_timeout_s = limits.connect_timeout_ns / 1e9
         self.handshakes = HandshakeEstimator(self.connect_timeout_s)
         self.idle_timeout_s = limits.upstream_idle_timeout_ns * IDLE_TIMEOUT_FRACTION / 1e9
@@ -71,6 +74,8 @@
         self.mean_response_s = 0.0
         self.open_connections = 0
         self.connect_tasks: set[asyncio.Task[None]] = set()
+        self.connections: set[UpstreamConnection] = set()
+        self.memory = memory
         self._shortage_logged_until = 0.0
 
     # ---- the endpoint list -------------------------------------------------------------------------------
@@ -181,6 +186,7 @@
         connection = UpstreamConnection(
             lambda connection: self._release(target, connection),
             lambda connection: self._forget(target, connection),
+            self.memory,
         )
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -203,6 +209,8 @@
             timer.cancel()
             target.connecting.discard(exchange)
         self.handshakes.record(loop.time() - started_s)
+        if not connection.closed:
+            self.connections.add(connection)
         self._connected(target, connection, exchange)
 
     def _connected(self, target: UpstreamTarget, connection: UpstreamConnection, exchange: Exchange) -> None:
@@ -248,6 +256,7 @@
     def _forget(self, target: UpstreamTarget, connection: UpstreamConnection) -> None:
         if connection.transport is not None:
             self.open_connections -= 1
+        self.connections.discard(connection)
         if connection in target.idle:
             target.idle.remove(connection)
 
--- a/lanelift/net/event_log.py
+++ b/lanelift/net/event_log.py
@@ -26,6 +26,7 @@
     SENT_AHEAD = "sent_ahead"  # a client sent too much before it got its answer
     CLIENT_EVICTED = "client_evicted"  # to make room for a new connection
     CLIENT_STALLED = "client_stalled"  # a client did not read its response
+    MEMORY_FREED = "memory_freed"  # more was buffered than the limit allows
     UPLOAD_OVERDUE = "upload_overdue"  # an upstream took a streamed body too slowly
     RESPONSE_ABORTED = "response_aborted"  # part of a streamed response was passed on
 
--- a/lanelift/net/exchange.py
+++ b/lanelift/net/exchange.py
@@ -15,7 +15,12 @@
 from lanelift.net.message_parser import MAX_BUFFERED_BODY_BYTES
 from lanelift.net.upload import Upload
 from lanelift.policy.events import AttemptResult
-from lanelift.policy.response_progress import CLIENT_STALL_TIMEOUT_S, SILENCE_TIMEOUT_S, response_due_s
+from lanelift.policy.response_progress import (
+    CLIENT_STALL_TIMEOUT_S,
+    SHORT_RESPONSE_BYTES,
+    SILENCE_TIMEOUT_S,
+    response_due_s,
+)
 
 if TYPE_CHECKING:
     from lanelift.net.upstream_connection import UpstreamConnection
@@ -38,7 +43,8 @@
     limits of `lanelift.policy.response_progress` apply, and the outcome OK has a response without a body.
 
     Attributes:
-        request: The bytes to write: the head, and the body unless the body is an `upload`.
+        request: The bytes to write: the head, and the body unless the body is an `upload`. Empty once they
+            were written.
         on_finished: Called once with the outcome; None afterwards.
         max_body_bytes: The longest response body that is buffered.
         on_written: Called once when the request's last byte was written.
@@ -146,6 +152,7 @@
     def request_written(self) -> None:
         """Records that the request's last byte was written."""
         self.written = True
+        self.request = b""
         on_written, self.on_written = self.on_written, None
         if on_written is not None:
             on_written()
@@ -153,7 +160,9 @@
     def start_streaming(self, head: Response) -> None:
         """Starts to stream the response."""
         self.streaming = True
-        if self.timer is not None and head.header(b"content-length") is None:
+        length = head.header(b"content-length")
+        may_be_short = length is None or int(length) <= SHORT_RESPONSE_BYTES
+        if self.timer is not None and may_be_short:
             self.timeout_at_s = self.timer.when()
         self.cancel_timeout()
         self.last_progress_s = self.streaming_since_s = asyncio.get_running_loop().time()
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -21,6 +21,7 @@
         table: The table of clients' connections.
         listener: The listener that accepts connections.
         shutdown: Drains and closes the connections.
+        memory: Limits what the connections buffer.
     """
 
     def __init__(
@@ -32,9 +33,11 @@
     ) -> None:
         self.dispatcher = dispatcher
         self.lifecycle = lifecycle or Lifecycle()
+        self.memory = dispatcher.upstreams.memory
         self.shutdown = GracefulShutdown(self)
         self.listener = Listener(self, bound_socket)
         self.table = ConnectionTable(max_clients, self.listener.resume)
+        self.memory.clients = lambda: self.table.clients
         dispatcher.on_ready_changed = self.listener.resume
         self.listener.resume()
 
--- a/lanelift/net/listener.py
+++ b/lanelift/net/listener.py
@@ -9,7 +9,7 @@
 
 from lanelift.net.client_connection import ClientConnection
 from lanelift.net.event_log import EventKind
-from lanelift.net.socket_options import peer_state
+from lanelift.net.socket_options import KERNEL_BUFFER_BYTES, peer_state
 
 if TYPE_CHECKING:
     from lanelift.net.frontend import Frontend
@@ -40,6 +40,8 @@
         # a task to which nothing refers may be garbage-collected
         self._setup_tasks: set[asyncio.Task[None]] = set()
         bound_socket.setblocking(False)
+        # Accepted sockets inherit this: a buffered response fits, so that it waits in the kernel
+        bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
         bound_socket.listen(BACKLOG)
 
     def resume(self) -> None:
--- /dev/null
+++ b/lanelift/net/memory.py
@@ -0,0 +1,112 @@
+"""Keeps what all connections buffer under one limit (`lanelift.policy.memory`).
+
+What is buffered is summed up each time that a part of the limit has been received. So between two sums it can
+grow by that part at most, and no connection has to report what it keeps.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from pathlib import Path
+from resource import getpagesize
+from typing import Protocol
+
+from lanelift.net.event_log import EventKind, EventLog
+from lanelift.policy.memory import BufferHolder, buffer_limit_bytes, choose_evictions, read_size_bytes
+
+log = logging.getLogger(__name__)
+
+DEFAULT_MEMORY_BYTES = 192 * 1024 * 1024
+CHECKS_PER_LIMIT = 16
+# Shared by all connections, as the bytes of each read are used before the next read.
+READ_BUFFER = memoryview(bytearray(64 * 1024))
+
+
+class BufferingClient(BufferHolder, Protocol):
+    """A client's connection."""
+
+    @property
+    def may_give_way(self) -> bool:
+        """Whether the client can be evicted without breaking off a request that may have been forwarded."""
+
+    def evict(self) -> None:
+        """Rejects the client's request and ends the connection, which frees what it keeps."""
+
+
+class BufferingUpstream(Protocol):
+    """A connection to an upstream."""
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes kept."""
+
+    def pass_on_response(self) -> None:
+        """Starts to stream a response that is being buffered, which frees what is kept of it."""
+
+
+def resident_bytes() -> int:
+    """Returns the resident memory of this process; 0 if the system does not tell."""
+    try:
+        pages = int(Path("/proc/self/statm").read_text(encoding="ascii").split()[1])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * getpagesize()
+
+
+class MemoryGuard:
+    """Limits what all connections together buffer.
+
+    Attributes:
+        limit_bytes: The limit.
+        buffered_bytes: What was buffered at the last check.
+        read_bytes: The size of one read from a connection.
+        clients: Returns the clients' connections.
+        upstreams: Returns the connections to upstreams.
+    """
+
+    def __init__(self, memory_bytes: int = DEFAULT_MEMORY_BYTES, events: EventLog | None = None) -> None:
+        self.limit_bytes = buffer_limit_bytes(memory_bytes, resident_bytes())
+        self.buffered_bytes = 0
+        self.read_bytes = len(READ_BUFFER)
+        self.clients: Callable[[], Iterable[BufferingClient]] = tuple
+        self.upstreams: Callable[[], Iterable[BufferingUpstream]] = tuple
+        self._events = events or EventLog()
+        self._received_bytes = 0  # since the last check
+
+    def received(self, count: int) -> None:
+        """Records that bytes were received from any peer, and checks the limit if it is time to."""
+        self._received_bytes += count
+        if self._received_bytes * CHECKS_PER_LIMIT >= self.limit_bytes:
+            self.check()
+
+    def check(self) -> None:
+        """Sums up what is buffered, and frees memory if it is over the limit."""
+        self._received_bytes = 0
+        self.buffered_bytes = self._sum()
+        if self.buffered_bytes > self.limit_bytes:
+            self._free()
+        self.read_bytes = read_size_bytes(self.buffered_bytes, self.limit_bytes)
+
+    def _sum(self) -> int:
+        clients = sum(client.buffered_bytes for client in self.clients())
+        return clients + sum(upstream.buffered_bytes for upstream in self.upstreams())
+
+    def _free(self) -> None:
+        """Passes on responses that are being buffered, and then evicts clients."""
+        before = self.buffered_bytes
+        for upstream in sorted(self.upstreams(), key=lambda upstream: -upstream.buffered_bytes):
+            if self.buffered_bytes <= self.limit_bytes or not upstream.buffered_bytes:
+                break
+            self.buffered_bytes -= upstream.buffered_bytes
+            upstream.pass_on_response()
+        candidates = [client for client in self.clients() if client.may_give_way]
+        evicted = choose_evictions(candidates, self._sum() - self.limit_bytes)
+        for client in evicted:
+            client.evict()
+        self.buffered_bytes = self._sum()
+        self._events.record(
+            EventKind.MEMORY_FREED,
+            f"{before} bytes were buffered of {self.limit_bytes}; {len(evicted)} clients evicted,"
+            f" {self.buffered_bytes} bytes are left",
+        )
--- a/lanelift/net/message_parser.py
+++ b/lanelift/net/message_parser.py
@@ -14,6 +14,7 @@
 import httptools
 
 from lanelift.net.http_messages import MessageError, Request, Response
+from lanelift.policy.memory import HEADER_OVERHEAD_BYTES
 
 MAX_BUFFERED_BODY_BYTES = 64 * 1024  # longest body that is buffered; a longer body is streamed or rejected
 MAX_STREAMED_BODY_BYTES = 40 * 1024 * 1024
@@ -22,6 +23,9 @@
 # chunks consist mostly of framing.
 MAX_FRAMING_FACTOR = 8
 MAX_NUMBER_DIGITS = 15
+# Most headers that a message may have. Small headers take many times their size once they are parsed.
+MAX_HEADERS = 100
+TYPICAL_HEAD_BYTES = 2048  # memory that the parsed head of a usual message takes
 
 Message = TypeVar("Message", Request, Response)
 
@@ -37,6 +41,7 @@
         size_bytes: The number of bytes read for the message, not counting a read that also held the end of
             the previous message.
         head_complete: Whether all headers were received; a later header is a trailer.
+        head_bytes: The memory that the received part of the head takes, roughly.
     """
 
     target: bytearray = field(default_factory=bytearray)
@@ -44,6 +49,7 @@
     body: bytearray = field(default_factory=bytearray)
     size_bytes: int = 0
     head_complete: bool = False
+    head_bytes: int = TYPICAL_HEAD_BYTES // 4
 
 
 class MessageParser(Generic[Message]):
@@ -114,6 +120,19 @@
         """The longest body that is accepted."""
         return MAX_STREAMED_BODY_BYTES if self.may_stream else self.max_body_bytes
 
+    @property
+    def head_complete(self) -> bool:
+        """Whether the head of the message that is being parsed is complete."""
+        return self.partial is not None and self.partial.head_complete
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The memory that parsed messages take, roughly."""
+        total = sum(map(len, self._body_parts))
+        if self.partial is not None:
+            total += self.partial.head_bytes + len(self.partial.body)
+        return total + sum(TYPICAL_HEAD_BYTES + len(message.body) for message in self.messages)
+
     def start_streaming(self) -> None:
         """Starts to stream the body of the message that is being parsed."""
         assert self.partial is not None
@@ -142,6 +161,12 @@
         if self.partial is not None and self.partial.head_complete and self._needs_streaming():
             self.start_streaming()
 
+    def drop_partial(self) -> None:
+        """Frees the message that is being parsed; nothing more is parsed."""
+        self._fail(503, "refused")
+        self.partial = None
+        self._body_parts.clear()
+
     def close(self) -> None:
         """Breaks the reference cycle with httptools, so that memory is freed without garbage collection."""
         self.parser = None
@@ -158,8 +183,13 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; trailers are dropped."""
         assert self.partial is not None
-        if not self.partial.head_complete:
+        if self.partial.head_complete or self.error is not None:
+            return
+        if len(self.partial.headers) >= MAX_HEADERS:
+            self._fail(431, "there are too many headers")
+        else:
             self.partial.headers.append((name.lower(), value.strip(b" \t")))
+            self.partial.head_bytes += len(name) + len(value) + HEADER_OVERHEAD_BYTES
 
     def on_headers_complete(self) -> None:
         """Checks the complete head."""
--- a/lanelift/net/upstream_connection.py
+++ b/lanelift/net/upstream_connection.py
@@ -3,19 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import cast
 
 from lanelift.net.exchange import Exchange
 from lanelift.net.http_messages import Response
 from lanelift.net.http_parser import ResponseParser
-from lanelift.net.socket_options import limit_kernel_buffers, peer_state, shut_down_now
+from lanelift.net.memory import READ_BUFFER, MemoryGuard
+from lanelift.net.socket_options import (
+    KERNEL_BUFFER_BYTES,
+    limit_kernel_buffers,
+    peer_state,
+    shut_down_now,
+)
 from lanelift.net.upload import Upload
 from lanelift.policy.events import AttemptResult
 
-READ_BUFFER_BYTES = 64 * 1024
-# Shared by all connections, as the bytes of each read are parsed before the next read.
-READ_BUFFER = memoryview(bytearray(READ_BUFFER_BYTES))
 # How long a response without a stated length is held before it is streamed; a short response is complete by
 # then.
 UNKNOWN_LENGTH_HOLD_S = 0.02
@@ -34,15 +38,18 @@
         idle_since: When the connection was last released, on the loop's clock.
         closed: Whether the connection has ended.
         write_paused: Whether part of the written data still waits in the write buffer.
+        memory: Limits what the connection buffers; None for a connection to discovery.
     """
 
     def __init__(
         self,
         on_idle: Callable[[UpstreamConnection], None],
         on_closed: Callable[[UpstreamConnection], None],
+        memory: MemoryGuard | None = None,
     ) -> None:
         self.on_idle = on_idle
         self.on_closed = on_closed
+        self.memory = memory
         self.parser = ResponseParser()
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
@@ -57,6 +64,9 @@
         """
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(high=0)
+        sock = transport.get_extra_info("socket")
+        # a buffered request fits, so that it waits in the kernel and not here
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
 
     # ---- the request -------------------------------------------------------------------------------------
 
@@ -125,7 +135,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns the buffer for the next read."""
-        return READ_BUFFER
+        return READ_BUFFER if self.memory is None else READ_BUFFER[: self.memory.read_bytes]
 
     def buffer_updated(self, count: int) -> None:
         """Receives bytes from the server.
@@ -148,6 +158,25 @@
                 return
         self.parser.feed(bytes(READ_BUFFER[:count]))
         self._process(exchange)
+        if self.memory is not None:
+            self.memory.received(count)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes of requests and responses that are kept."""
+        if self.exchange is None or self.transport is None:
+            return 0
+        unwritten = self.transport.get_write_buffer_size()
+        return self.parser.buffered_bytes + unwritten + len(self.exchange.request)
+
+    def pass_on_response(self) -> None:
+        """Starts to stream a response that is being buffered, if its head is complete."""
+        exchange, parser = self.exchange, self.parser
+        if exchange is None or exchange.sink is None or parser.streamed_head is not None:
+            return
+        if parser.head_complete and parser.error is None:
+            parser.start_streaming()
+            self._process(exchange)
 
     def _process(self, exchange: Exchange) -> None:
         """Handles the parser's results for the exchange.
--- a/lanelift/net/upstreams.py
+++ b/lanelift/net/upstreams.py
@@ -13,6 +13,7 @@
 from lanelift.net.exchange import Exchange, ResponseSink
 from lanelift.net.http_messages import Headers, Response, encode_message
 from lanelift.net.load_reports import LoadReport, read_load_report
+from lanelift.net.memory import DEFAULT_MEMORY_BYTES, MemoryGuard
 from lanelift.net.upload import Upload
 from lanelift.policy.events import AttemptResult
 from lanelift.policy.settings import Limits
@@ -29,13 +30,22 @@
     Attributes:
         pool: The connections to the upstreams.
         events: Counts why attempts and requests were ended early.
+        memory: Limits what connections to upstreams and clients buffer.
         report_fields: The names of the values in a load report.
         probe_path: The path of load probes.
     """
 
-    def __init__(self, limits: Limits, max_connections: int, report_fields: Collection[str]) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        max_connections: int,
+        report_fields: Collection[str],
+        memory_bytes: int = DEFAULT_MEMORY_BYTES,
+    ) -> None:
         self.events = EventLog()
-        self.pool = ConnectionPool(limits, max_connections)
+        self.memory = MemoryGuard(memory_bytes, self.events)
+        self.pool = ConnectionPool(limits, max_connections, self.memory)
+        self.memory.upstreams = lambda: self.pool.connections
         self.report_fields = frozenset(report_fields)
         self.probe_path = b"/status/load" if report_fields else b"/health"
 
--- a/lanelift/policy/__init__.py
+++ b/lanelift/policy/__init__.py
@@ -38,6 +38,8 @@
 Hedging              hedging.py             expected time, deviation           DURATION_MARGIN, DEVIATIONS
 Giving up            deadlines.py           objective, deadline, expected time DURATION_MARGIN,
                                                                                MIN_WAIT_DIVISOR
+Memory of peers      memory.py              what is kept, the process's limit  BUFFER_SHARE,
+                                                                               GUARANTEED_BYTES
 Giving up: uploads   upload_deadline.py     unread and received bytes, time    OPEN_WINDOW_BYTES,
                                                                                MAX_HIDDEN_BYTES
 Streamed responses   response_progress.py   received bytes, times              the table at its head
--- a/lanelift/policy/response_progress.py
+++ b/lanelift/policy/response_progress.py
@@ -3,8 +3,8 @@
 | response | until | limit |
 | --- | --- | --- |
 | being received, not streamed yet | its last byte, or the start of streaming | the attempt's time-out |
-| streamed, length stated | its last byte | `SILENCE_TIMEOUT_S` without a byte |
-| streamed, length unknown, at most `SHORT_RESPONSE_BYTES` so far | it is longer than that | the attempt's time-out, or the time that its bytes take at `MIN_RATE_BYTES_PER_S` if that is later, and `LATE_ANSWER_GRACE_S` more; also the line above |
+| streamed, length stated and longer than that | its last byte | `SILENCE_TIMEOUT_S` without a byte |
+| streamed, length unknown or short, at most `SHORT_RESPONSE_BYTES` so far | it is longer than that | the attempt's time-out, or the time that its bytes take at `MIN_RATE_BYTES_PER_S` if that is later, and `LATE_ANSWER_GRACE_S` more; also the line above |
 | streamed, length unknown, longer than that | its last byte | `SILENCE_TIMEOUT_S` without a byte |
 | streamed, and its client does not read | the client reads on | `CLIENT_STALL_TIMEOUT_S` without progress; the other limits are suspended |
 
--- a/tests/net/test_retries.py
+++ b/tests/net/test_retries.py
@@ -193,7 +193,8 @@
             client = await lb.client()
             client.send("r1", "safe", X_Deadline_Ms=200)
             await upstream.until(lambda: len(upstream.seen) == 1)
-            exchanges = [o for o in gc.get_objects() if isinstance(o, Exchange) and b"r1" in o.request]
+            # of an attempt, and not of discovery's watch
+            exchanges = [o for o in gc.get_objects() if isinstance(o, Exchange) and o.sink is not None]
             assert len(exchanges) == 1 and exchanges[0].timer is not None
             due = exchanges[0].timer.when()
             # the data stays in the kernel's buffer, as the loop is blocked
--- a/tests/net/test_streamed_responses.py
+++ b/tests/net/test_streamed_responses.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from lanelift.net.memory import READ_BUFFER
 from lanelift.net.message_parser import MAX_BUFFERED_BODY_BYTES
 from lanelift.net.socket_options import KERNEL_BUFFER_BYTES
-from lanelift.net.upstream_connection import READ_BUFFER
 from lanelift.policy.events import AttemptFinished, ClientDisconnected, ResponseStarted
 from tests.fakes import answer, read_message, run
 from tests.in_process import EventRecorder, in_process_balancer
--- a/tests/net/test_upload_breaks.py
+++ b/tests/net/test_upload_breaks.py
@@ -69,8 +69,8 @@
     connection_made = UpstreamConnection.connection_made
 
     def limit_send_buffer(connection: UpstreamConnection, transport: asyncio.BaseTransport) -> None:
-        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         connection_made(connection, transport)
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
 
     async def test() -> None:
         loop = asyncio.get_running_loop()
