Input that takes much processing time waits for its turn, and delays no other client

Callers with 47 ms got their answers up to 2 s late while six clients sent requests without id, or for /ready, at full speed. Cause: all input that was read was parsed and answered within one iteration of the loop, 4,000 requests of a pipelining client, and nothing limited the processing time of answers that are made here; chunks of one byte do the same. Input is handled at once while its client is within its share of the processing time (2%, 20 ms at once) and the iteration is short; otherwise its connection is not read and waits in a queue that is served in turns of 1 ms with 15% of the cores that the configuration names. Long bodies are not charged: their upstream limits them.

--- a/lanelift/daemon.py
+++ b/lanelift/daemon.py
@@ -88,7 +88,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, lambda: self._frontend.shutdown.shut_down())
         lifecycle = Lifecycle(shared_address=self._config.inherited is not None)
-        self._frontend = Frontend(self._dispatcher, self._listener, self._max_clients, lifecycle)
+        self._frontend = Frontend(
+            self._dispatcher, self._listener, self._max_clients, lifecycle, self._config.cores
+        )
 
     async def _start_hot_restart(self) -> None:
         folder = os.environ.get(HOT_RESTART_FOLDER_VARIABLE)
--- a/lanelift/daemon_config.py
+++ b/lanelift/daemon_config.py
@@ -16,6 +16,7 @@
 
 DEFAULT_SOCKETS = 1024
 BYTES_PER_MB = 1024 * 1024
+MIN_CORES, MAX_CORES = 0.01, 1024.0
 MIN_MEMORY_MB, MAX_MEMORY_MB = 1, 1 << 20
 # Descriptors reserved for the listener, discovery (an old and a new connection), peers, the configuration and
 # the interpreter, and for sockets that were closed in this loop iteration and still count as open.
@@ -42,6 +43,7 @@
         discovery: The source of the endpoint list: a discovery server's address, or the operator's own file.
         seed: Seed of all random choices.
         sockets: The largest number of descriptors that the process may have.
+        cores: The number of cores that the process may use.
         memory_bytes: The largest memory that the process may have; it is ended if it has more.
         settings: The balancer's settings.
         cached_endpoints: The last known endpoint list, in discovery's format.
@@ -68,6 +70,7 @@
     inherited: int | None = None
     fleet: Source | None = None
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    cores: float = 1.0
 
 
 def read_config(environ: Mapping[str, str]) -> Config:
@@ -100,6 +103,9 @@
     memory_mb = optional(limits, "memory_mb", float, DEFAULT_MEMORY_BYTES / BYTES_PER_MB)
     if not MIN_MEMORY_MB <= memory_mb <= MAX_MEMORY_MB:
         raise SettingsError(f"limits.memory_mb must be from {MIN_MEMORY_MB} to {MAX_MEMORY_MB}")
+    cores = optional(limits, "cores", float, 1.0)
+    if not MIN_CORES <= cores <= MAX_CORES:
+        raise SettingsError(f"limits.cores must be from {MIN_CORES} to {MAX_CORES}")
     inherited = environ.get("BALANCER_FD")
     if inherited is not None and not inherited.isdecimal():
         raise SettingsError(f"BALANCER_FD is {inherited!r}, and must be the number of a descriptor")
@@ -117,6 +123,7 @@
         address("operator"),
         int(inherited) if inherited else None,
         memory_bytes=int(memory_mb * BYTES_PER_MB),
+        cores=cores,
     )
 
 
--- a/lanelift/net/client_connection.py
+++ b/lanelift/net/client_connection.py
@@ -27,6 +27,7 @@
 from lanelift.net.socket_options import limit_kernel_buffers, peer_state, unread_bytes
 from lanelift.net.upload import Upload
 from lanelift.policy.events import RequestArrived
+from lanelift.policy.turns import TURN_S, ProcessingAccount
 from lanelift.policy.upload_deadline import UploadDeadline
 
 if TYPE_CHECKING:
@@ -56,6 +57,8 @@
         received_ns: When the bytes that are being parsed were received (monotonic clock).
         wait_ns: How long the client waits for the answer after it has sent the last byte of its request.
         received_bytes: The number of bytes received so far.
+        account: The processing time that its input has used.
+        waits_for_turn: Whether its input waits in the queue for processing time.
         received_bytes_at_check: The value of `received_bytes` at the last check of the body's progress.
     """
 
@@ -67,6 +70,8 @@
         self.received_ns = 0
         self.wait_ns = 0
         self.received_bytes = self.received_bytes_at_check = 0
+        self.account = ProcessingAccount()
+        self.waits_for_turn = False
 
     # ---- memory ------------------------------------------------------------------------------------------
 
@@ -141,8 +146,7 @@
             return
         self.received_ns = time.monotonic_ns() - age_ns
         self.received_bytes += count
-        may_not_parse = (self.request is not None and self.upload is None) or self.write_paused
-        if may_not_parse and len(self.unparsed) > MAX_PIPELINED_BYTES:
+        if self._may_not_parse and len(self.unparsed) > MAX_PIPELINED_BYTES:
             self._record(EventKind.SENT_AHEAD, f"{len(self.unparsed)} bytes")
             self.abort()
             return
@@ -160,6 +164,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Ends the open request, and removes the connection from the frontend."""
         self._disconnected()
+        self.frontend.turns.leave(self)
         self.parser.close()
         self.frontend.client_lost(self)
 
@@ -169,7 +174,7 @@
         While reading is paused, asyncio does not report a disconnection, so the kernel is queried.
         """
         if (
-            self.reading_paused
+            (self.reading_paused or self.waits_for_turn)
             and self.transport is not None
             and peer_state(self.transport.get_extra_info("socket"))[0]
         ):
@@ -191,7 +196,9 @@
 
     def phase_timed_out(self) -> None:
         """Handles the time-out of the current phase."""
-        if self.phase is Phase.READING_HEAD and self.has_data:
+        if self.waits_for_turn and self.phase in (Phase.IDLE, Phase.READING_HEAD, Phase.READING_BODY):
+            self.table.enter(self, self.phase)  # not the client is slow
+        elif self.phase is Phase.READING_HEAD and self.has_data:
             self._record(EventKind.HEAD_TIMEOUT)
             self._reject_input(408, "the request did not come in time")
         elif self.phase is Phase.READING_BODY and (
@@ -211,14 +218,56 @@
     # ---- requests ----------------------------------------------------------------------------------------
 
     def _parse(self) -> None:
-        """Parses further, unless a request is open or the client does not read its responses."""
+        """Parses further, now or in this client's turn if its input takes much processing time."""
+        if not self.has_data or self._may_not_parse:
+            return
+        if self.frontend.turns.may_handle_at_once(self, len(self.unparsed)):
+            self.take_turn()
+        elif not self.waits_for_turn:
+            self._wait_for_turn()
+
+    @property
+    def _may_not_parse(self) -> bool:
+        """Whether parsing waits for the open request, or for the client to read its responses."""
+        is_waiting = self.request is not None and self.upload is None
+        return is_waiting or self.write_paused or self.ignores_input
+
+    def _wait_for_turn(self) -> None:
+        """Joins the queue; nothing more is read until this client's turn."""
+        self.waits_for_turn = True
+        self.frontend.turns.join(self)
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def take_turn(self) -> None:
+        """Parses for at most `TURN_S`, or a step longer, and waits for another turn if input is left."""
+        started_s, before_bytes = time.monotonic(), len(self.unparsed)
+        was_waiting = self.waits_for_turn
+        self.waits_for_turn = False
+        self.is_parsing = True
+        try:
+            finished = self._parse_until(started_s + TURN_S)
+        finally:
+            self.is_parsing = False
+        self.frontend.turns.charge(self, time.monotonic() - started_s, before_bytes - len(self.unparsed))
+        if not finished:
+            self._wait_for_turn()
+        elif was_waiting and not self.reading_paused and self.transport is not None:
+            self.transport.resume_reading()
+
+    def _parse_until(self, until_s: float) -> bool:
+        """Parses further, unless a request is open or the client does not read its responses.
+
+        Returns:
+            Whether nothing is left that can be parsed now; False if the time was up first.
+        """
         parser = self.parser
-        while not self.ignores_input and not self.write_paused:
+        while not self._may_not_parse:
+            if time.monotonic() >= until_s:
+                return False
             if self.upload is not None:
                 if not self._forward_body(self.upload):
-                    return
-            elif self.request is not None:
-                return
+                    return True
             elif parser.messages and not parser.messages[0].streamed:
                 self._begin_request(parser.messages.popleft())
             elif parser.streamed_head is not None:
@@ -228,7 +277,8 @@
                 self._reject_input(parser.error.status, str(parser.error))
             elif not self._parse_slice():
                 self._await_rest()
-                return
+                return True
+        return True
 
     def _parse_slice(self) -> bool:
         """Parses one slice of the received bytes; returns False if nothing is left."""
@@ -378,7 +428,8 @@
             return
         self.reading_paused = not enabled
         if enabled:
-            self.transport.resume_reading()
+            if not self.waits_for_turn:
+                self.transport.resume_reading()
             self._loop.call_soon(self._parse)
         else:
             self.transport.pause_reading()
--- a/lanelift/net/client_responses.py
+++ b/lanelift/net/client_responses.py
@@ -44,6 +44,7 @@
         reads_chunks: Whether the client accepts chunked responses.
         source: The exchange whose response is streamed to the client.
         is_last_response: Whether the current response is the last on this connection.
+        is_parsing: Whether the response is written while input is being parsed, which goes on after it.
         waiting_since_s: When the request that is being received began, on the loop's clock.
     """
 
@@ -63,6 +64,7 @@
         self.source: Exchange | None = None
         self.is_last_response = False
         self.waiting_since_s = 0.0
+        self.is_parsing = False
         self._loop = asyncio.get_running_loop()
 
     def _record(self, kind: EventKind, detail: str = "") -> None:
@@ -240,7 +242,7 @@
             self._close_after_response()
             return
         self.table.enter(self, Phase.IDLE)
-        if self.has_data:
+        if self.has_data and not self.is_parsing:
             self._loop.call_soon(self._parse)
 
     def _close_after_response(self) -> None:
--- a/lanelift/net/event_log.py
+++ b/lanelift/net/event_log.py
@@ -24,6 +24,7 @@
     BODY_TIMEOUT = "body_timeout"
     INVALID_REQUEST = "invalid_request"
     SENT_AHEAD = "sent_ahead"  # a client sent too much before it got its answer
+    CLIENT_WAITS_FOR_TURN = "client_waits_for_turn"  # its input takes much processing time
     CLIENT_EVICTED = "client_evicted"  # to make room for a new connection
     CLIENT_STALLED = "client_stalled"  # a client did not read its response
     MEMORY_FREED = "memory_freed"  # more was buffered than the limit allows
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -10,6 +10,8 @@
 from lanelift.net.dispatch import Dispatcher
 from lanelift.net.listener import Listener
 from lanelift.net.shutdown import GracefulShutdown
+from lanelift.net.turn_queue import TurnQueue
+from lanelift.policy.turns import TurnPolicy
 
 
 class Frontend:
@@ -22,6 +24,7 @@
         listener: The listener that accepts connections.
         shutdown: Drains and closes the connections.
         memory: Limits what the connections buffer.
+        turns: The queue of clients whose input waits for processing time.
     """
 
     def __init__(
@@ -30,10 +33,12 @@
         bound_socket: socket.socket,
         max_clients: int,
         lifecycle: Lifecycle | None = None,
+        cores: float = 1.0,
     ) -> None:
         self.dispatcher = dispatcher
         self.lifecycle = lifecycle or Lifecycle()
         self.memory = dispatcher.upstreams.memory
+        self.turns = TurnQueue(TurnPolicy(cores), dispatcher.metrics.events)
         self.shutdown = GracefulShutdown(self)
         self.listener = Listener(self, bound_socket)
         self.table = ConnectionTable(max_clients, self.listener.resume)
@@ -58,4 +63,5 @@
         """Closes the listener and all connections immediately."""
         self.listener.pause()
         self.listener.close()
+        self.turns.close()
         self.table.close()
--- a/lanelift/policy/__init__.py
+++ b/lanelift/policy/__init__.py
@@ -40,6 +40,8 @@
                                                                                MIN_WAIT_DIVISOR
 Memory of peers      memory.py              what is kept, the process's limit  BUFFER_SHARE,
                                                                                GUARANTEED_BYTES
+Processing time      turns.py               time used, input that waits        CLIENT_SHARE, QUEUE_SHARE,
+                                                                               TURN_S
 Giving up: uploads   upload_deadline.py     unread and received bytes, time    OPEN_WINDOW_BYTES,
                                                                                MAX_HIDDEN_BYTES
 Streamed responses   response_progress.py   received bytes, times              the table at its head
