Requests of a client whose close is hidden behind unread data are not forwarded

Requests began 0.32 s after their client had closed (6 of 6 clients), when it had sent more than the kernel holds while the process was stopped. Cause: the kernel reports the end of a connection only behind all data, and requests were begun as soon as they were parsed. Each attempt, also one that waited for a handshake, asks the kernel whether its client is connected, not only those with streamed bodies.

--- a/lanelift/net/attempts.py
+++ b/lanelift/net/attempts.py
@@ -58,6 +58,10 @@
         unread_ns = exchange.unread_ns if exchange is not None else 0
         return max(0, time.monotonic_ns() - self.started_ns - unread_ns)
 
+    def is_client_connected(self) -> bool:
+        """Returns whether the request is open and its client connected, by the kernel's state."""
+        return not self.request.closed and self.request.client.is_connected()
+
     def start_response(self, head: Response) -> None:
         """Starts to stream a response that is too long to be buffered. The request's deadline no longer
         applies.
--- a/lanelift/net/client_connection.py
+++ b/lanelift/net/client_connection.py
@@ -146,7 +146,7 @@
             return
         self.received_ns = time.monotonic_ns() - age_ns
         self.received_bytes += count
-        if self._may_not_parse and len(self.unparsed) > MAX_PIPELINED_BYTES:
+        if len(self.unparsed) > MAX_PIPELINED_BYTES:
             self._record(EventKind.SENT_AHEAD, f"{len(self.unparsed)} bytes")
             self.abort()
             return
@@ -168,20 +168,21 @@
         self.parser.close()
         self.frontend.client_lost(self)
 
-    def _is_connected(self) -> bool:
-        """Returns whether the client of the open request is still connected, and ends the request if not.
-
-        While reading is paused, asyncio does not report a disconnection, so the kernel is queried.
-        """
-        if (
-            (self.reading_paused or self.waits_for_turn)
-            and self.transport is not None
-            and peer_state(self.transport.get_extra_info("socket"))[0]
-        ):
+    def is_connected(self) -> bool:
+        """Returns whether the client of the open request is still connected, and ends the request if not."""
+        if self.transport is not None and peer_state(self.transport.get_extra_info("socket"))[0]:
             self._disconnected()
             self.abort()
         return self.request is not None
 
+    def _may_hide_close(self) -> bool:
+        """Returns whether the client may have closed its connection behind data that is unread.
+
+        Failure guarded against: a client that sends much and closes may have gone long ago, and its request
+        would still be forwarded. So all that it has sent is read first.
+        """
+        return unread_bytes(self.transport) > 0
+
     def _disconnected(self) -> None:
         """Drops pipelined requests and ends the open one, as the client no longer reads responses."""
         self.ignores_input = True
@@ -269,7 +270,8 @@
                 if not self._forward_body(self.upload):
                     return True
             elif parser.messages and not parser.messages[0].streamed:
-                self._begin_request(parser.messages.popleft())
+                if not self._begin_request(parser.messages[0]):
+                    return True
             elif parser.streamed_head is not None:
                 self._begin_request(parser.streamed_head, body_pending=True)
             elif parser.error is not None:
@@ -313,34 +315,44 @@
         self.received_bytes_at_check = self.received_bytes
         self.table.enter(self, Phase.READING_BODY)
 
-    def _begin_request(self, message: Request, body_pending: bool = False) -> None:
-        """Begins to serve a request.
+    def _begin_request(self, message: Request, body_pending: bool = False) -> bool:
+        """Begins to serve a request, and takes it from the parser if it is complete.
 
         Args:
             message: The request.
             body_pending: Whether its body is too long to be buffered, and is streamed.
+
+        Returns:
+            Whether the request was begun or answered; False if more has to be read first.
         """
         self.is_head_request = message.method == b"HEAD"
         self.keep_alive, self.reads_chunks = message.keep_alive, message.accepts_chunks
         path, _, query = message.target.decode("latin-1").partition("?")
         if path == "/ready" and not body_pending:
+            self.parser.messages.popleft()
             ready = self.frontend.lifecycle.reports_ready(self.dispatcher.ready)
             self._answer(200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
-            return
+            return True
         try:
             arrival = self._read_arrival(message, dict(message.headers), path, query, body_pending)
         except MessageError as error:
             self._record(EventKind.INVALID_REQUEST, str(error))
+            if not body_pending:
+                self.parser.messages.popleft()
             # If the message is complete, the connection stays usable.
             self._answer(error.status, [], f"{error}\n".encode(), last=body_pending)
-            return
+            return True
+        if not body_pending:
+            if self._may_hide_close():
+                return False
+            self.parser.messages.popleft()
         headers = [row for row in end_to_end_headers(message.headers) if row[0] not in REPLACED_HEADERS]
         request = OpenRequest(arrival, message.method, message.target, headers, message.body, self)
         self.request = request
         if body_pending:
             length = next((int(value) for name, value in message.headers if name == b"content-length"), None)
             deadline = UploadDeadline(self.received_ns, max(0, self.wait_ns - ANSWER_MARGIN_NS), length)
-            self.upload = request.upload = Upload(self._set_reading, self._is_connected, length, deadline)
+            self.upload = request.upload = Upload(self._set_reading, length, deadline)
             assert self.transport is not None
             limit_kernel_buffers(self.transport)
             self._loop.call_later(UPLOAD_CHECK_S, self._check_upload, self.upload)
@@ -348,6 +360,7 @@
         else:
             self.table.leave(self)
         self.dispatcher.receive_request(request)
+        return True
 
     def _read_arrival(
         self, message: Request, headers: Mapping[bytes, bytes], path: str, query: str, body_pending: bool
@@ -380,6 +393,8 @@
     def _forward_body(self, upload: Upload) -> bool:
         """Forwards the received part of a body; returns False if it has to wait or the body has ended."""
         parser = self.parser
+        if parser.messages and self._may_hide_close():
+            return False  # the rest is read first
         data = parser.take_body()
         if data:
             upload.receive(data)
@@ -415,7 +430,7 @@
         if self.upload is not upload or self.request is None:
             return
         self._observe_upload(upload)
-        if not self._is_connected():
+        if not self.is_connected():
             return
         if time.monotonic_ns() >= upload.deadline.due_ns:
             self.dispatcher.requests.fail_overdue_upload(self.request)
--- a/lanelift/net/connection_pool.py
+++ b/lanelift/net/connection_pool.py
@@ -293,5 +293,5 @@
 
 
 def _client_left(exchange: Exchange) -> bool:
-    """Returns whether the client has disconnected, which is not reported while reading from it is paused."""
-    return exchange.upload is not None and not exchange.upload.is_client_connected()
+    """Returns whether the client has disconnected; the loop may not have reported it yet."""
+    return exchange.sink is not None and not exchange.sink.is_client_connected()
--- a/lanelift/net/exchange.py
+++ b/lanelift/net/exchange.py
@@ -29,6 +29,9 @@
 class ResponseSink(Protocol):
     """The receiver of a streamed response; the response's end is reported as the exchange's outcome."""
 
+    def is_client_connected(self) -> bool:
+        """Returns whether the response still has a receiver."""
+
     def start_response(self, head: Response) -> None:
         """Receives the response's head; the body follows in pieces."""
 
--- a/lanelift/net/interfaces.py
+++ b/lanelift/net/interfaces.py
@@ -11,6 +11,13 @@
 class Client(Protocol):
     """The receiver of a request's one final answer."""
 
+    def is_connected(self) -> bool:
+        """Returns whether the client is still connected; if not, its open request is ended.
+
+        The kernel is asked, as the loop learns of a disconnection later, or not at all while reading is
+        paused.
+        """
+
     def respond(self, response: Response) -> None:
         """Answers with an upstream's response."""
 
--- a/lanelift/net/upload.py
+++ b/lanelift/net/upload.py
@@ -22,8 +22,6 @@
 
     Attributes:
         set_reading: Called with True to resume reading from the client, and with False to pause reading.
-        is_client_connected: Returns whether the client is still connected, as a disconnection is not reported
-            while reading is paused.
         length_bytes: The stated length; None if the body is sent in chunks.
         buffered: The part received before a connection is attached: at most as many bytes as the longest
             buffered body, plus one read.
@@ -39,7 +37,6 @@
         "connection",
         "consumed",
         "deadline",
-        "is_client_connected",
         "length_bytes",
         "set_reading",
     )
@@ -47,12 +44,10 @@
     def __init__(
         self,
         set_reading: Callable[[bool], None],
-        is_client_connected: Callable[[], bool],
         length_bytes: int | None,
         deadline: UploadDeadline,
     ) -> None:
         self.set_reading = set_reading
-        self.is_client_connected = is_client_connected
         self.length_bytes = length_bytes
         self.deadline = deadline
         self.buffered: list[bytes] = []
--- a/tests/net/test_response_progress.py
+++ b/tests/net/test_response_progress.py
@@ -204,6 +204,9 @@
         paused = asyncio.Event()
 
         class PausingSink:
+            def is_client_connected(self) -> bool:
+                return True
+
             def start_response(self, head: object) -> None:
                 exchange_.pause()
                 paused.set()
