The processes of an upgrade know the ids that the other one has taken

Cause: nothing was shared but the count of processes. Change: where the clients' socket is inherited, each process keeps its table of ids in a file of its own in TMPDIR, and reads the files of the others when the folder changes. It writes before it reads, so of two processes that take an id at once one learns of the other; a lock tells which processes run.

--- a/lanelift/daemon.py
+++ b/lanelift/daemon.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from lanelift.net.hot_restart import HotRestart
+    from lanelift.net.shared_ids import SharedIds
 
 # The environment variable that names the folder through which the processes of a hot restart find each other.
 HOT_RESTART_FOLDER_VARIABLE = "TMPDIR"
@@ -47,11 +48,13 @@
         self._tenants: Any = None
         self._frontend: Frontend
         self._hot_restart: HotRestart | None = None
+        self._shared_ids: SharedIds | None = None
         self._admin: AdminServer | None = None
 
     async def start(self, read: Callable[[], Config], admin_socket: socket.socket | None) -> None:
         """Starts all parts: sources first, then the frontend, then the operators' calls and reloads."""
         await self._start_sources()
+        self._share_ids()
         self._start_frontend()
         await self._start_hot_restart()
         if admin_socket is not None:
@@ -81,6 +84,15 @@
         if self._tenants is not None:
             self._tenants.start()
 
+    def _share_ids(self) -> None:
+        """Shares the ids of requests with the other process of a hot restart, before any is received."""
+        folder = os.environ.get(HOT_RESTART_FOLDER_VARIABLE)
+        if self._config.inherited is not None and folder:
+            from lanelift.net.shared_ids import SharedIds  # only loaded if a hot restart is possible
+
+            self._shared_ids = SharedIds(Path(folder))
+            self._shared_ids.share(self._dispatcher.requests.ids)
+
     def _start_frontend(self) -> None:
         """Starts to serve clients. Signal handlers are installed first: once the frontend exists, clients may
         wait for answers, and a signal without a handler would end the process before they get them.
@@ -123,6 +135,8 @@
             self._admin.close()
         if self._hot_restart is not None:
             self._hot_restart.close()
+        if self._shared_ids is not None:
+            self._shared_ids.close()
         if self._tenants is not None:
             self._tenants.close()
         if self._fleet is not None:
