An upstream whose address a newer one has is gone

All of 40 requests reached a new, cold upstream under the name of the old one at its address, while a list named both. Cause: entries were kept by id alone, and an address could belong to two. Change: policy/address_takeover.py finds the entries whose address a process has that started later, or was listed later; the update that reaches the pool and the balancer removes them, which closes their connections.

--- a/lanelift/net/dispatch.py
+++ b/lanelift/net/dispatch.py
@@ -15,6 +15,7 @@
 
 from lanelift.net.attempts import Attempt, AttemptRunner
 from lanelift.net.endpoints import ResolvedEndpoint
+from lanelift.net.event_log import EventKind
 from lanelift.net.interfaces import Discovery, PeerChannel
 from lanelift.net.metrics import FAULTED, THROTTLED, Metrics
 from lanelift.net.requests import OpenRequest, RequestTable
@@ -31,6 +32,7 @@
     StartAttempt,
     Subscribe,
 )
+from lanelift.policy.address_takeover import replaced_upstreams
 from lanelift.policy.answers import MAX_RETRY_AFTER_NS, MIN_RETRY_AFTER_SHARE
 from lanelift.policy.balancer import Balancer
 from lanelift.policy.events import (
@@ -226,12 +228,31 @@
         """Applies an update of the endpoint list, and notifies the balancer of it."""
         if kind is not EndpointUpdateKind.FAILED:
             is_snapshot = kind is not EndpointUpdateKind.DELTA
+            endpoints = self._without_replaced(endpoints, is_snapshot)
             self.upstreams.pool.update_endpoints(endpoints, is_snapshot=is_snapshot)
         self.post(EndpointUpdate(kind, [endpoint.entry for endpoint in endpoints]))
         if kind is EndpointUpdateKind.SNAPSHOT:
             self._end_endpoint_list_wait()
         self.on_ready_changed()
 
+    def _without_replaced(
+        self, endpoints: list[ResolvedEndpoint], is_snapshot: bool
+    ) -> list[ResolvedEndpoint]:
+        """Returns an update in which upstreams whose address a newer one has are removed."""
+        before = {number: target.endpoint for number, target in self.upstreams.pool.targets.items()}
+        replaced = replaced_upstreams(
+            {number: endpoint.listed_process for number, endpoint in before.items()},
+            [endpoint.listed_process for endpoint in endpoints],
+            is_snapshot,
+        )
+        if not replaced:
+            return endpoints
+        for number, successor in replaced.items():
+            detail = f"upstream {number:x} was replaced by {successor:x}"
+            self.metrics.events.record(EventKind.ADDRESS_TAKEN_OVER, detail)
+        kept = [endpoint for endpoint in endpoints if endpoint.entry.id not in replaced]
+        return kept + [before[number].removed() for number in replaced if number in before]
+
     def _hand_over(self) -> None:
         events, self.pending_events, self.pending_peer_messages = (
             self.pending_peer_messages + self.pending_events,
--- a/lanelift/net/event_log.py
+++ b/lanelift/net/event_log.py
@@ -23,6 +23,7 @@
     HEAD_TIMEOUT = "head_timeout"
     BODY_TIMEOUT = "body_timeout"
     INVALID_REQUEST = "invalid_request"
+    ADDRESS_TAKEN_OVER = "address_taken_over"  # an upstream is listed at the address of another
     REPEATED_ID = "repeated_id"  # its request may have run already
     SENT_AHEAD = "sent_ahead"  # a client sent too much before it got its answer
     CLIENT_WAITS_FOR_TURN = "client_waits_for_turn"  # its input takes much processing time
--- a/lanelift/net/request_ids.py
+++ b/lanelift/net/request_ids.py
@@ -1,4 +1,4 @@
-"""Which ids of requests are taken: by a request that may have run, here or in another process of an upgrade."""
+"""Which request ids are taken: by a request that may have run, here or in another process of an upgrade."""
 
 from __future__ import annotations
 
--- a/lanelift/policy/__init__.py
+++ b/lanelift/policy/__init__.py
@@ -56,6 +56,7 @@
 Peer load            peer_load.py           price, degree, messages            MAX_RECIPIENTS,
                                                                                MAX_ANNOUNCEMENT_PRICE
 Endpoint list        registry.py            snapshots and deltas               each update
+Replaced upstreams   address_takeover.py    addresses, start times             one process an address
 Subscription         subscription.py        failures of calls                  FIRST_BACKOFF_NS
 Feedback             feedback.py            counts of the interval             FEEDBACK_INTERVAL_NS
 ==================== ====================== ================================== =============================
