A client that goes on writing after its last answer can still read it

Cause: a connection that is closing was aborted after 1 s, and a close over data that still comes resets the connection. Change: while the client writes on, the connection is kept for 3 s.

--- a/lanelift/net/client_connection.py
+++ b/lanelift/net/client_connection.py
@@ -40,6 +40,8 @@
 HEAD_END = b"\r\n\r\n"
 # What a client may send ahead while its request is open.
 MAX_PIPELINED_BYTES = 256 * 1024
+# A client that writes on after its last response has this long to finish.
+MAX_CLOSING_S = 3.0
 # how often the deadline of a streamed body is checked
 UPLOAD_CHECK_S = 0.025
 # The time-out of a body starts again only if at least this many bytes were received since the time-out last
@@ -138,6 +140,7 @@
         they are kept in memory.
         """
         if self.ignores_input:
+            self.received_bytes += count
             return
         assert self.transport is not None
         disconnected, age_ns = peer_state(self.transport.get_extra_info("socket"))
@@ -210,12 +213,24 @@
         elif self.phase is Phase.READING_BODY:
             self._record(EventKind.BODY_TIMEOUT, f"{self.received_bytes} bytes on this connection")
             self._abandon_request(408, "the body did not come in time")
+        elif self.phase is Phase.CLOSING and self._goes_on_writing():
+            self.table.enter(self, Phase.CLOSING)
         elif self.phase is Phase.FLUSHING:
             self._record(EventKind.CLIENT_STALLED)
             self.abort_response()
         else:
             self.abort()
 
+    def _goes_on_writing(self) -> bool:
+        """Returns whether the client still writes, and may read its last response only after that.
+
+        Failure guarded against: a close while a client writes resets the connection, and the response that
+        the client has not read yet is lost.
+        """
+        is_writing = self.received_bytes > self.received_bytes_at_check
+        self.received_bytes_at_check = self.received_bytes
+        return is_writing and self._loop.time() < self.closing_since_s + MAX_CLOSING_S
+
     # ---- requests ----------------------------------------------------------------------------------------
 
     def _parse(self) -> None:
--- a/lanelift/net/client_responses.py
+++ b/lanelift/net/client_responses.py
@@ -44,6 +44,7 @@
         reads_chunks: Whether the client accepts chunked responses.
         source: The exchange whose response is streamed to the client.
         is_last_response: Whether the current response is the last on this connection.
+        closing_since_s: When the last response was written, on the loop's clock.
         is_parsing: Whether the response is written while input is being parsed, which goes on after it.
         waiting_since_s: When the request that is being received began, on the loop's clock.
     """
@@ -65,6 +66,7 @@
         self.is_last_response = False
         self.waiting_since_s = 0.0
         self.is_parsing = False
+        self.closing_since_s = 0.0
         self._loop = asyncio.get_running_loop()
 
     def _record(self, kind: EventKind, detail: str = "") -> None:
@@ -254,6 +256,7 @@
         self.ignores_input = True
         if self.transport is None or self.transport.is_closing():
             return
+        self.closing_since_s = self._loop.time()
         self.table.enter(self, Phase.CLOSING)
         with suppress(OSError):  # the connection is broken, which is reported in the next loop iteration
             self.transport.write_eof()
--- a/tests/robustness/soak.py
+++ b/tests/robustness/soak.py
@@ -134,9 +134,10 @@
         framing = b"Transfer-Encoding: chunked" if chunked else b"Content-Length: 120000"
         await call.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n\r\n")
         for at in range(0, 120_000, 40_000):
+            if at:
+                await asyncio.sleep(self.rng.uniform(0.0, 0.6))
             piece = BODY[at : at + 40_000]
             await call.write(b"%x\r\n%b\r\n" % (len(piece), piece) if chunked else piece)
-            await asyncio.sleep(self.rng.uniform(0.0, 0.6))
         if chunked:
             await call.write(b"0\r\n\r\n")
 
--- a/tests/robustness/test_long_messages.py
+++ b/tests/robustness/test_long_messages.py
@@ -163,3 +163,21 @@
             assert got.whole and got.body == BODY[:total], len(got.body)
 
     run(test())
+
+
+def test_a_client_that_goes_on_writing_after_its_answer_can_read_it(tmp_path: Path) -> None:
+    """A request is answered before its body is complete, and read only when all was written."""
+
+    async def test() -> None:
+        upstreams = [Upstream("s-0", reads_slowly(0), OWN_BUFFER_BYTES)]
+        async with daemon(tmp_path, upstreams) as balancer:
+            reader, writer = await asyncio.open_connection(*balancer.address)
+            request = with_length("slow", BODY[:900_000])
+            for at in range(0, len(request), 20_000):
+                writer.write(request[at : at + 20_000])
+                await asyncio.sleep(0.09)
+            got = await read_answer(reader)
+            writer.close()
+            assert got.whole and got.status in (502, 503, 504), got
+
+    run(test())
