A crowd of connections, and slow parsing of responses, hold up the loop less

Related to the floods: all of a backlog was accepted in one iteration of the loop, and a read of 64 KiB of a response in chunks of one byte is parsed in one go. Change: 32 connections are accepted in an iteration (all at the shutdown); an upstream's next read is 4 KiB if its last one took more than 1 ms to parse.

--- a/lanelift/net/listener.py
+++ b/lanelift/net/listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import socket
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,8 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 256
+# connections that are accepted in one iteration of the loop, so that others do not wait for all of a crowd
+MAX_ACCEPTS_PER_ITERATION = 32
 ACCEPT_RETRY_S = 0.05  # wait after a failed accept; the usual cause is that no descriptor is free
 
 
@@ -90,7 +93,9 @@
             else:
                 self.pause(retry_s)
             return False
-        while len(table.clients) < table.max_clients:
+        left = math.inf if self.stopping else MAX_ACCEPTS_PER_ITERATION
+        while len(table.clients) < table.max_clients and left > 0:
+            left -= 1
             try:
                 sock, _ = self.socket.accept()
             except BlockingIOError:
--- a/lanelift/net/upstream_connection.py
+++ b/lanelift/net/upstream_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from typing import cast
 
@@ -19,6 +20,8 @@
 )
 from lanelift.net.upload import Upload
 from lanelift.policy.events import AttemptResult
+from lanelift.policy.memory import READ_BYTES_UNDER_PRESSURE
+from lanelift.policy.turns import TURN_S
 
 # How long a response without a stated length is held before it is streamed; a short response is complete by
 # then.
@@ -38,6 +41,7 @@
         idle_since: When the connection was last released, on the loop's clock.
         closed: Whether the connection has ended.
         write_paused: Whether part of the written data still waits in the write buffer.
+        parsed_in_s: How long it took to parse the last read; chunks of a few bytes take long.
         memory: Limits what the connection buffers; None for a connection to discovery.
     """
 
@@ -57,6 +61,7 @@
         self.idle_since = 0.0
         self.closed = False
         self.write_paused = False
+        self.parsed_in_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets up the transport. Its write buffer counts as full from the first byte on, so that
@@ -134,8 +139,11 @@
     # ---- the response ------------------------------------------------------------------------------------
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        """Returns the buffer for the next read."""
-        return READ_BUFFER if self.memory is None else READ_BUFFER[: self.memory.read_bytes]
+        """Returns the buffer for the next read; a small one if the last read took long to parse."""
+        if self.memory is None:
+            return READ_BUFFER
+        is_slow = self.parsed_in_s > TURN_S
+        return READ_BUFFER[: READ_BYTES_UNDER_PRESSURE if is_slow else self.memory.read_bytes]
 
     def buffer_updated(self, count: int) -> None:
         """Receives bytes from the server.
@@ -156,7 +164,9 @@
             if asyncio.get_running_loop().time() - age_s < exchange.distrust_until_s:
                 self.abort()
                 return
+        started_s = time.monotonic()
         self.parser.feed(bytes(READ_BUFFER[:count]))
+        self.parsed_in_s = time.monotonic() - started_s
         self._process(exchange)
         if self.memory is not None:
             self.memory.received(count)
--- a/tests/net/test_http_parser.py
+++ b/tests/net/test_http_parser.py
@@ -13,6 +13,7 @@
     MAX_BUFFERED_BODY_BYTES,
     MAX_FRAMING_FACTOR,
     MAX_HEAD_BYTES,
+    MAX_HEADERS,
 )
 from tests.net.support import (
     LONG_BODY,
@@ -89,6 +90,7 @@
         (HEAD + b"X-Odd: " + b"x" * MAX_HEAD_BYTES, 431),
         (HEAD + b"X-Odd: x\r\n" * (MAX_HEAD_BYTES // 6) + b"\r\n", 431),
         (b"GET /" + b"x" * MAX_HEAD_BYTES, 431),
+        (HEAD + b"a:\r\n" * MAX_HEADERS + b"\r\n", 431),
     ],
 )
 def test_invalid_requests_are_rejected(data: bytes, status: int) -> None:
--- a/tests/robustness/test_floods.py
+++ b/tests/robustness/test_floods.py
@@ -11,7 +11,15 @@
 
 from tests.fakes import answer, run
 from tests.robustness.clients import flood
-from tests.robustness.support import LEAST_MEMORY_MB, Call, SteadyTraffic, Upstream, daemon, head
+from tests.robustness.support import (
+    LEAST_MEMORY_MB,
+    Call,
+    SteadyTraffic,
+    Upstream,
+    ask,
+    daemon,
+    head,
+)
 
 FLOODING_CLIENTS, FLOOD_S = 6, 3.0
 STEADY_DEADLINE_MS = 47
@@ -68,3 +76,33 @@
             assert balancer.peak_mb < LEAST_MEMORY_MB, seen
 
     run(test())
+
+
+def test_responses_in_chunks_of_one_byte_delay_no_other_answer(tmp_path: Path) -> None:
+    """Some upstreams send long responses in chunks of one byte, and parsing them holds up the loop."""
+    chunks = b"1\r\na\r\n" * 20_000
+
+    async def serve(call: Call) -> None:
+        if call.id.startswith("tiny"):
+            await call.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for _ in range(20):
+                await call.write(chunks)
+            await call.write(b"0\r\n\r\n")
+            return
+        await asyncio.sleep(0.005)
+        await call.write(answer(200, call.id.encode()))
+
+    async def ask_tiny(address: tuple[str, int], number: int) -> int:
+        got = await ask(address, head(f"tiny-{number}"))
+        return len(got.body)
+
+    async def test() -> None:
+        async with daemon(tmp_path, [Upstream(f"s-{i}", serve) for i in range(6)]) as balancer:
+            steady = SteadyTraffic(balancer.address, 150)
+            async with steady.running():
+                await asyncio.sleep(0.5)
+                sizes = await asyncio.gather(*(ask_tiny(balancer.address, number) for number in range(6)))
+            assert sizes == [400_000] * 6
+            assert not steady.late and not steady.outcomes[0] and steady.outcomes[200] > 50, steady
+
+    run(test())
