Clients that have used little processing time come first among those that wait

Change: clients that have used less than 1 ms wait in a queue of their own, which is served in each iteration of the loop; 5 ms may be used at once (20 ms before).

--- a/lanelift/policy/turns.py
+++ b/lanelift/policy/turns.py
@@ -2,9 +2,9 @@
 
 Inputs: the processing time that each client's input has taken, how much input waits, and the time. Input is
 handled at once while its client has used less than its own share and the loop's iteration is not long yet.
-Otherwise it waits in a queue, which all such clients share in turn and which has a share of its own. Reason:
-parsing and answering invalid requests costs time that no other limit covers, and other clients wait
-meanwhile.
+Otherwise it waits in a queue, which all such clients share in turn and which has a share of its own; clients
+that have used little come first, and do not count against that share. Reason: parsing and answering invalid
+requests costs time that no other limit covers, and other clients wait meanwhile.
 """
 
 from __future__ import annotations
@@ -15,7 +15,9 @@
 CLIENT_SHARE = 0.02
 QUEUE_SHARE = 0.15
 # A client may use this much at once, in seconds, before its share counts.
-CLIENT_BURST_S = 0.02
+CLIENT_BURST_S = 0.005
+# A client that has used less than this comes first: clients with much input have used it up after a turn.
+FRESH_DEBT_S = 0.001
 MAX_DEBT_S = 2 * CLIENT_BURST_S
 # Input is handled at once for this long in an iteration of the loop; after that only small input is.
 ITERATION_S = 0.004
@@ -66,6 +68,10 @@
         has_time = iteration_used_s < ITERATION_S or input_bytes <= SMALL_INPUT_BYTES
         return has_time and account.debt_s < CLIENT_BURST_S
 
+    def is_fresh(self, account: ProcessingAccount) -> bool:
+        """Return whether a client that waits comes before those that have used much processing time."""
+        return account.debt_s < FRESH_DEBT_S
+
     def charge(self, account: ProcessingAccount, used_s: float, handled_bytes: int, now_s: float) -> None:
         """Add the processing time that input has taken to a client's account."""
         self._settle(account, now_s)
--- a/tests/policy/test_turns.py
+++ b/tests/policy/test_turns.py
@@ -10,6 +10,7 @@
     ITERATION_S,
     QUEUE_SHARE,
     SMALL_INPUT_BYTES,
+    TURN_S,
     ProcessingAccount,
     TurnPolicy,
 )
@@ -48,6 +49,14 @@
     assert not policy.may_handle_at_once(ProcessingAccount(), SMALL_INPUT_BYTES + 1, ITERATION_S, 1.0)
 
 
+def test_a_client_with_much_input_is_not_fresh_after_a_turn() -> None:
+    policy, account = TurnPolicy(1.0), ProcessingAccount()
+    assert policy.is_fresh(account)
+    policy.charge(account, TURN_S, 300, 1.0)
+    policy.charge(account, TURN_S, 300, 1.0)
+    assert not policy.is_fresh(account)
+
+
 @pytest.mark.parametrize("cores", [0.35, 1.0, 4.0])
 def test_the_queue_keeps_to_its_share_of_the_cores_up_to_one(cores: float) -> None:
     pause_s = TurnPolicy(cores).pause_s(0.002)
--- a/tests/robustness/soak.py
+++ b/tests/robustness/soak.py
@@ -124,7 +124,7 @@
             await call.write(answer(200, BODY[:300_000]))
             return
         await asyncio.sleep(self.rng.uniform(0.002, 0.03))
-        if call.id.startswith("long"):
+        if call.id.startswith("lumps"):
             await self._write_in_lumps(call)
         else:
             await call.write(answer(200, f"{call.id} {len(body)}".encode()))
@@ -168,10 +168,10 @@
     def _draw_request(self) -> tuple[str, bytes, bytes | None]:
         """Returns an id, a request and the expected body."""
         self.sent += 1
-        kind = self.rng.choices(["get", "pay", "fee", "big", "long"], [6, 2, 2, 1, 1])[0]
+        kind = self.rng.choices(["get", "pay", "fee", "big", "lumps"], [6, 2, 2, 1, 1])[0]
         name = f"{kind}-{self.sent}"
-        if kind in ("get", "long"):
-            return name, head(name), BODY[:120_000] if kind == "long" else f"{name} 0".encode()
+        if kind in ("get", "lumps"):
+            return name, head(name), BODY[:120_000] if kind == "lumps" else f"{name} 0".encode()
         size = self.rng.randint(70_000, 400_000) if kind == "big" else self.rng.randint(0, 4000)
         encode = self.rng.choice([with_length, in_chunks])
         request = encode(name, BODY[:size], "fee" if kind == "fee" else "pay")
@@ -200,7 +200,7 @@
                 self.judge.broken(f"{name}: cut off after {len(got.body)} bytes, {took_s:.3f} s")
         elif got.status == 200 and got.body != expected:
             self.judge.broken(f"{name}: a wrong body of {len(got.body)} bytes")
-        elif took_s > LOST_AFTER_S + SLACK_S and not name.startswith("long"):
+        elif took_s > LOST_AFTER_S + SLACK_S and not name.startswith("lumps"):
             self.judge.broken(f"{name}: {got.status} after {took_s:.3f} s")
         return got.whole
 
