A client's input has its own module; a closing client stays only while it writes

Change: net/client_input.py reads, parses in slices and waits for turns; the count is recorded where the last response is written.

--- a/lanelift/net/client_responses.py
+++ b/lanelift/net/client_responses.py
@@ -44,6 +44,8 @@
         reads_chunks: Whether the client accepts chunked responses.
         source: The exchange whose response is streamed to the client.
         is_last_response: Whether the current response is the last on this connection.
+        received_bytes: The number of bytes received so far.
+        received_bytes_at_check: The value of `received_bytes` at the last check of progress.
         closing_since_s: When the last response was written, on the loop's clock.
         is_parsing: Whether the response is written while input is being parsed, which goes on after it.
         waiting_since_s: When the request that is being received began, on the loop's clock.
@@ -67,6 +69,7 @@
         self.waiting_since_s = 0.0
         self.is_parsing = False
         self.closing_since_s = 0.0
+        self.received_bytes = self.received_bytes_at_check = 0
         self._loop = asyncio.get_running_loop()
 
     def _record(self, kind: EventKind, detail: str = "") -> None:
@@ -257,6 +260,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         self.closing_since_s = self._loop.time()
+        self.received_bytes_at_check = self.received_bytes
         self.table.enter(self, Phase.CLOSING)
         with suppress(OSError):  # the connection is broken, which is reported in the next loop iteration
             self.transport.write_eof()
--- a/tests/net/test_upload_end.py
+++ b/tests/net/test_upload_end.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from lanelift.net.client_connection import PARSE_SLICE_BYTES
+from lanelift.net.client_input import PARSE_SLICE_BYTES
 from lanelift.net.message_parser import MAX_BUFFERED_BODY_BYTES
 from lanelift.net.upstream_connection import UpstreamConnection
 from lanelift.policy.events import ClientDisconnected, RequestArrived
