--- a/lanelift/policy/response_progress.py
+++ b/lanelift/policy/response_progress.py
@@ -1,16 +1,23 @@
-"""How long a streamed response may take: who is timed, by what, and from when.
-
-| response | until | limit |
-| --- | --- | --- |
-| being received, not streamed yet | its last byte, or the start of streaming | the attempt's time-out |
-| streamed, length stated and longer than that | its last byte | `SILENCE_TIMEOUT_S` without a byte |
-| streamed, length unknown or short, at most `SHORT_RESPONSE_BYTES` so far | it is longer than that | the attempt's time-out, or the time that its bytes take at `MIN_RATE_BYTES_PER_S` if that is later, and `LATE_ANSWER_GRACE_S` more; also the line above |
-| streamed, length unknown, longer than that | its last byte | `SILENCE_TIMEOUT_S` without a byte |
-| streamed, and its client does not read | the client reads on | `CLIENT_STALL_TIMEOUT_S` without progress; the other limits are suspended |
-
-A response without a stated length may be a short one that never ends, because its upstream is stuck, or a long one
-that pauses. The bytes received so far tell them apart: the more there are, the longer it may pause.
-"""  # noqa: E501  (a table)
+"""How long a response may take: who is timed, by what, and from when.
+
+================================= ======================== ===================================================
+Response                          Timed until              Limit
+================================= ======================== ===================================================
+buffered                          its last byte, or the    the attempt's time-out
+                                  start of streaming
+streamed, more than               its last byte            SILENCE_TIMEOUT_S without a byte
+SHORT_RESPONSE_BYTES so far, or
+such a length is stated
+streamed, up to that, and no      its last byte, or more   as above; also the attempt's time-out, or the time
+such length is stated             bytes than that          that its bytes take at MIN_RATE_BYTES_PER_S if that
+                                                           is later, and LATE_ANSWER_GRACE_S more
+streamed, its client reads none   the client reads on      CLIENT_STALL_TIMEOUT_S without progress; nothing
+                                                           else
+================================= ======================== ===================================================
+
+A response without a stated length may be a short one that never ends, because its upstream is stuck, or a
+long one that pauses. The bytes received so far tell them apart: the more there are, the longer it may pause.
+"""
 
 from __future__ import annotations
 
