--- a/lanelift/net/client_input.py
+++ b/lanelift/net/client_input.py
@@ -148,7 +148,10 @@
             finished = self._parse_until(started_s + TURN_S)
         finally:
             self.is_parsing = False
-        self.frontend.turns.charge(self, time.monotonic() - started_s, before_bytes - len(self.unparsed))
+        # one request at a time is open, and parsing ends with its beginning
+        begun = int(self.request is not None and self.upload is None)
+        used_s, handled_bytes = time.monotonic() - started_s, before_bytes - len(self.unparsed)
+        self.frontend.turns.charge(self, used_s, handled_bytes, begun)
         if not finished:
             self._wait_for_turn()
         elif was_waiting and not self.reading_paused and self.transport is not None:
--- a/lanelift/net/turn_queue.py
+++ b/lanelift/net/turn_queue.py
@@ -50,9 +50,9 @@
             client.account, input_bytes, self._iteration_used_s, time.monotonic()
         )
 
-    def charge(self, client: TurnTaker, used_s: float, handled_bytes: int) -> None:
-        """Records the processing time that a client's input has taken."""
-        self._policy.charge(client.account, used_s, handled_bytes, time.monotonic())
+    def charge(self, client: TurnTaker, used_s: float, handled_bytes: int, requests: int) -> None:
+        """Records the processing time that a client's input has taken (`TurnPolicy.charge`)."""
+        self._policy.charge(client.account, used_s, handled_bytes, requests, time.monotonic())
         self._iteration_used_s += used_s
         if not self._iteration_ends:
             self._iteration_ends = True
--- a/lanelift/policy/turns.py
+++ b/lanelift/policy/turns.py
@@ -24,6 +24,8 @@
 SMALL_INPUT_BYTES = 1024
 # Processing time that is not charged: a long body takes less, and its upstream limits how fast it comes.
 FREE_S_PER_BYTE = 10e-9
+# The same for a request that is forwarded: the policy and its upstream limit how many there are.
+FREE_S_PER_REQUEST = 200e-6
 TURN_S = 0.001  # how long one turn may last
 SERVING_S = 0.002  # how long turns are served in a row
 
@@ -72,10 +74,21 @@
         """Return whether a client that waits comes before those that have used much processing time."""
         return account.debt_s < FRESH_DEBT_S
 
-    def charge(self, account: ProcessingAccount, used_s: float, handled_bytes: int, now_s: float) -> None:
-        """Add the processing time that input has taken to a client's account."""
+    def charge(
+        self, account: ProcessingAccount, used_s: float, handled_bytes: int, requests: int, now_s: float
+    ) -> None:
+        """Add the processing time that input has taken to a client's account.
+
+        Args:
+            account: The account.
+            used_s: The time in seconds.
+            handled_bytes: How much input was handled.
+            requests: How many requests were begun; requests that are answered here do not count.
+            now_s: The time in seconds.
+        """
         self._settle(account, now_s)
-        charged_s = max(0.0, used_s - handled_bytes * FREE_S_PER_BYTE)
+        free_s = handled_bytes * FREE_S_PER_BYTE + requests * FREE_S_PER_REQUEST
+        charged_s = max(0.0, used_s - free_s)
         account.debt_s = min(MAX_DEBT_S, account.debt_s + charged_s)
 
     def pause_s(self, used_s: float) -> float:
--- a/tests/policy/test_turns.py
+++ b/tests/policy/test_turns.py
@@ -19,7 +19,7 @@
 def test_a_client_that_uses_more_than_its_share_waits_until_it_is_paid_back() -> None:
     policy, account = TurnPolicy(1.0), ProcessingAccount()
     assert policy.may_handle_at_once(account, 100, 0.0, 1.0)
-    policy.charge(account, CLIENT_BURST_S * 1.5, 0, 1.0)
+    policy.charge(account, CLIENT_BURST_S * 1.5, 0, 0, 1.0)
     assert not policy.may_handle_at_once(account, 100, 0.0, 1.0)
     paid_back_s = 1.0 + CLIENT_BURST_S * 0.5 / CLIENT_SHARE
     assert not policy.may_handle_at_once(account, 100, 0.0, paid_back_s - 0.01)
@@ -31,14 +31,14 @@
     for number in range(10_000):
         now_s = number * 0.01
         assert policy.may_handle_at_once(account, 300, 0.0, now_s)
-        policy.charge(account, 0.01 * CLIENT_SHARE, 300, now_s)
+        policy.charge(account, 0.01 * CLIENT_SHARE, 300, 0, now_s)
 
 
 def test_long_bodies_are_not_charged_and_chunks_of_one_byte_are() -> None:
     policy, body, chunks = TurnPolicy(1.0), ProcessingAccount(), ProcessingAccount()
     for _ in range(1000):
-        policy.charge(body, 100e-6, 64 * 1024, 1.0)
-        policy.charge(chunks, 100e-6, 600, 1.0)
+        policy.charge(body, 100e-6, 64 * 1024, 0, 1.0)
+        policy.charge(chunks, 100e-6, 600, 0, 1.0)
     assert policy.may_handle_at_once(body, 64 * 1024, 0.0, 1.0)
     assert not policy.may_handle_at_once(chunks, 600, 0.0, 1.0)
 
@@ -52,8 +52,8 @@
 def test_a_client_with_much_input_is_not_fresh_after_a_turn() -> None:
     policy, account = TurnPolicy(1.0), ProcessingAccount()
     assert policy.is_fresh(account)
-    policy.charge(account, TURN_S, 300, 1.0)
-    policy.charge(account, TURN_S, 300, 1.0)
+    policy.charge(account, TURN_S, 300, 0, 1.0)
+    policy.charge(account, TURN_S, 300, 0, 1.0)
     assert not policy.is_fresh(account)
 
 
@@ -61,3 +61,12 @@
 def test_the_queue_keeps_to_its_share_of_the_cores_up_to_one(cores: float) -> None:
     pause_s = TurnPolicy(cores).pause_s(0.002)
     assert 0.002 / (0.002 + pause_s) == pytest.approx(QUEUE_SHARE * min(1.0, cores))
+
+
+def test_requests_that_are_forwarded_are_not_charged_and_those_answered_here_are() -> None:
+    policy, forwarded, answered = TurnPolicy(1.0), ProcessingAccount(), ProcessingAccount()
+    for _ in range(1000):
+        policy.charge(forwarded, 150e-6, 300, 1, 1.0)
+        policy.charge(answered, 150e-6, 300, 0, 1.0)
+    assert policy.may_handle_at_once(forwarded, 300, 0.0, 1.0)
+    assert not policy.may_handle_at_once(answered, 300, 0.0, 1.0)
