Memory checks pass over idle connections, and a failed message is dropped

Change: connections that received something since they were last empty are summed up; a message with an error is dropped.

--- a/lanelift/net/client_input.py
+++ b/lanelift/net/client_input.py
@@ -92,7 +92,7 @@
             self.waiting_since_s = self._loop.time()
         self.unparsed += READ_BUFFER[:count]
         self._parse()
-        self.frontend.memory.received(count)
+        self.frontend.memory.client_received(self, count)
 
     def eof_received(self) -> bool:
         """Treats a client that has ended its sending as disconnected."""
--- a/lanelift/net/client_responses.py
+++ b/lanelift/net/client_responses.py
@@ -185,6 +185,7 @@
     def pause_writing(self) -> None:
         """Pauses the response's source while the client does not read."""
         self.write_paused = True
+        self.frontend.memory.client_keeps(self)
         if self.source is not None:
             self.source.pause()
 
--- a/lanelift/net/connection_pool.py
+++ b/lanelift/net/connection_pool.py
@@ -61,7 +61,6 @@
         mean_response_s: The smoothed response time, in seconds.
         open_connections: The number of connections, including those that are being opened.
         connect_tasks: The tasks of handshakes in progress.
-        connections: The established connections.
         memory: Limits what the connections buffer.
     """
 
@@ -74,7 +73,6 @@
         self.mean_response_s = 0.0
         self.open_connections = 0
         self.connect_tasks: set[asyncio.Task[None]] = set()
-        self.connections: set[UpstreamConnection] = set()
         self.memory = memory
         self._shortage_logged_until = 0.0
 
@@ -209,8 +207,6 @@
             timer.cancel()
             target.connecting.discard(exchange)
         self.handshakes.record(loop.time() - started_s)
-        if not connection.closed:
-            self.connections.add(connection)
         self._connected(target, connection, exchange)
 
     def _connected(self, target: UpstreamTarget, connection: UpstreamConnection, exchange: Exchange) -> None:
@@ -256,7 +252,6 @@
     def _forget(self, target: UpstreamTarget, connection: UpstreamConnection) -> None:
         if connection.transport is not None:
             self.open_connections -= 1
-        self.connections.discard(connection)
         if connection in target.idle:
             target.idle.remove(connection)
 
--- a/lanelift/net/frontend.py
+++ b/lanelift/net/frontend.py
@@ -42,7 +42,6 @@
         self.shutdown = GracefulShutdown(self)
         self.listener = Listener(self, bound_socket)
         self.table = ConnectionTable(max_clients, self.listener.resume)
-        self.memory.clients = lambda: self.table.clients
         dispatcher.on_ready_changed = self.listener.resume
         self.listener.resume()
 
@@ -55,6 +54,7 @@
         """Removes a connection that has ended; this may make room for another client or complete the
         shutdown."""
         self.table.clients.discard(client)
+        self.memory.client_lost(client)
         self.table.leave(client)
         self.listener.resume()
         self.shutdown.check_finished()
--- a/lanelift/net/memory.py
+++ b/lanelift/net/memory.py
@@ -1,13 +1,13 @@
 """Keeps what all connections buffer under one limit (`lanelift.policy.memory`).
 
 What is buffered is summed up each time that a part of the limit has been received. So between two sums it can
-grow by that part at most, and no connection has to report what it keeps.
+grow by that part at most, and no connection has to report how much it keeps. Only connections that have
+received something since they were last found empty are summed up, as most connections are idle.
 """
 
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
 from pathlib import Path
 from resource import getpagesize
 from typing import Protocol
@@ -61,21 +61,43 @@
         limit_bytes: The limit.
         buffered_bytes: What was buffered at the last check.
         read_bytes: The size of one read from a connection.
-        clients: Returns the clients' connections.
-        upstreams: Returns the connections to upstreams.
+        clients: The clients' connections that may keep something.
+        upstreams: The connections to upstreams that may keep something.
     """
 
     def __init__(self, memory_bytes: int = DEFAULT_MEMORY_BYTES, events: EventLog | None = None) -> None:
         self.limit_bytes = buffer_limit_bytes(memory_bytes, resident_bytes())
         self.buffered_bytes = 0
         self.read_bytes = len(READ_BUFFER)
-        self.clients: Callable[[], Iterable[BufferingClient]] = tuple
-        self.upstreams: Callable[[], Iterable[BufferingUpstream]] = tuple
+        self.clients: dict[BufferingClient, None] = {}
+        self.upstreams: dict[BufferingUpstream, None] = {}
         self._events = events or EventLog()
         self._received_bytes = 0  # since the last check
 
-    def received(self, count: int) -> None:
-        """Records that bytes were received from any peer, and checks the limit if it is time to."""
+    def client_received(self, client: BufferingClient, count: int) -> None:
+        """Records that bytes were received from a client."""
+        self.clients[client] = None
+        self._received(count)
+
+    def upstream_received(self, upstream: BufferingUpstream, count: int) -> None:
+        """Records that bytes were received from an upstream."""
+        self.upstreams[upstream] = None
+        self._received(count)
+
+    def client_keeps(self, client: BufferingClient) -> None:
+        """Records that part of a response to a client could not be written."""
+        self.clients[client] = None
+
+    def upstream_keeps(self, upstream: BufferingUpstream) -> None:
+        """Records that part of a request to an upstream could not be written."""
+        self.upstreams[upstream] = None
+
+    def client_lost(self, client: BufferingClient) -> None:
+        """Forgets a client's connection that has ended."""
+        self.clients.pop(client, None)
+
+    def _received(self, count: int) -> None:
+        """Checks the limit if it is time to."""
         self._received_bytes += count
         if self._received_bytes * CHECKS_PER_LIMIT >= self.limit_bytes:
             self.check()
@@ -89,18 +111,21 @@
         self.read_bytes = read_size_bytes(self.buffered_bytes, self.limit_bytes)
 
     def _sum(self) -> int:
-        clients = sum(client.buffered_bytes for client in self.clients())
-        return clients + sum(upstream.buffered_bytes for upstream in self.upstreams())
+        clients = {client: client.buffered_bytes for client in self.clients}
+        upstreams = {upstream: upstream.buffered_bytes for upstream in self.upstreams}
+        self.clients = {client: None for client, count in clients.items() if count}
+        self.upstreams = {upstream: None for upstream, count in upstreams.items() if count}
+        return sum(clients.values()) + sum(upstreams.values())
 
     def _free(self) -> None:
         """Passes on responses that are being buffered, and then evicts clients."""
         before = self.buffered_bytes
-        for upstream in sorted(self.upstreams(), key=lambda upstream: -upstream.buffered_bytes):
+        for upstream in sorted(self.upstreams, key=lambda upstream: -upstream.buffered_bytes):
             if self.buffered_bytes <= self.limit_bytes or not upstream.buffered_bytes:
                 break
             self.buffered_bytes -= upstream.buffered_bytes
             upstream.pass_on_response()
-        candidates = [client for client in self.clients() if client.may_give_way]
+        candidates = [client for client in self.clients if client.may_give_way]
         evicted = choose_evictions(candidates, self._sum() - self.limit_bytes)
         for client in evicted:
             client.evict()
--- a/lanelift/net/message_parser.py
+++ b/lanelift/net/message_parser.py
@@ -106,6 +106,8 @@
         partial = self.partial
         if partial is not None and (partial is before or not self.messages):
             self._check_size(partial, len(data))
+        if self.error is not None:
+            self.partial = None  # it has no further use, and its connection may last for seconds
 
     def _check_size(self, partial: PartialMessage, read_bytes: int) -> None:
         partial.size_bytes += read_bytes
--- a/lanelift/net/upstream_connection.py
+++ b/lanelift/net/upstream_connection.py
@@ -122,6 +122,8 @@
     def pause_writing(self) -> None:
         """Records that part of the written data waits in the write buffer."""
         self.write_paused = True
+        if self.memory is not None:
+            self.memory.upstream_keeps(self)
         if self.exchange is not None:
             self.exchange.written = False
 
@@ -169,7 +171,7 @@
         self.parsed_in_s = time.monotonic() - started_s
         self._process(exchange)
         if self.memory is not None:
-            self.memory.received(count)
+            self.memory.upstream_received(self, count)
 
     @property
     def buffered_bytes(self) -> int:
--- a/lanelift/net/upstreams.py
+++ b/lanelift/net/upstreams.py
@@ -45,7 +45,6 @@
         self.events = EventLog()
         self.memory = MemoryGuard(memory_bytes, self.events)
         self.pool = ConnectionPool(limits, max_connections, self.memory)
-        self.memory.upstreams = lambda: self.pool.connections
         self.report_fields = frozenset(report_fields)
         self.probe_path = b"/status/load" if report_fields else b"/health"
 
