An error behind a request is answered, and a stop of the process is blamed on no client

Since a message with an error is dropped, an error that was found while a request is open was not answered after it: the new test times out before, and passes.

--- a/lanelift/net/client_input.py
+++ b/lanelift/net/client_input.py
@@ -51,8 +51,9 @@
 
     @property
     def has_data(self) -> bool:
-        """Whether part of a request has been received."""
-        return self.parser.has_partial or bool(self.parser.messages or self.unparsed)
+        """Whether part of a request has been received, or an error that is not answered yet."""
+        parser = self.parser
+        return bool(parser.has_partial or parser.messages or self.unparsed or parser.error)
 
     # ---- reading -----------------------------------------------------------------------------------------
 
--- a/lanelift/policy/turns.py
+++ b/lanelift/policy/turns.py
@@ -28,6 +28,8 @@
 FREE_S_PER_REQUEST = 200e-6
 TURN_S = 0.001  # how long one turn may last
 SERVING_S = 0.002  # how long turns are served in a row
+# Most that a turn, or a row of turns, counts. A longer one means that this process got no processor time.
+MAX_COUNTED_S = 0.004
 
 
 @dataclass(slots=True)
@@ -88,12 +90,12 @@
         """
         self._settle(account, now_s)
         free_s = handled_bytes * FREE_S_PER_BYTE + requests * FREE_S_PER_REQUEST
-        charged_s = max(0.0, used_s - free_s)
+        charged_s = max(0.0, min(used_s, MAX_COUNTED_S) - free_s)
         account.debt_s = min(MAX_DEBT_S, account.debt_s + charged_s)
 
     def pause_s(self, used_s: float) -> float:
         """Return how long the queue pauses after it was served for `used_s` seconds."""
-        return used_s * (1 / self.queue_share - 1)
+        return min(used_s, MAX_COUNTED_S) * (1 / self.queue_share - 1)
 
     def _settle(self, account: ProcessingAccount, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - account.updated_s)
--- a/tests/net/test_client_connection.py
+++ b/tests/net/test_client_connection.py
@@ -75,6 +75,22 @@
     run(test())
 
 
+def test_invalid_input_right_behind_a_request_is_answered_after_it() -> None:
+    """A request and bytes that are not HTTP arrive together. Both are answered, though the error was found
+    while the request was open.
+    """
+
+    async def test() -> None:
+        async with in_process_balancer() as lb:
+            client = await lb.client()
+            client.send("r1", "pay", "POST", Transfer_Encoding="chunked")
+            client.writer.write(b"1\r\nx\r\n0\r\n\r\nno HTTP at all\r\n\r\n")
+            assert [(await client.answer()).status for _ in range(2)] == [200, 400]
+            await client.ended()
+
+    run(test())
+
+
 def test_a_flood_of_bytes_after_an_open_request_closes_the_connection() -> None:
     """A client sends a flood of bytes while its request is open. Buffering them would fill the memory, so
     its connection is closed, and other clients are served.
