What may be buffered leaves room for connections; short responses keep their deadline

Cause: with 500 clients and 249 responses of which 60 of 64 KB came a process took 35.4 MB at 32 MB, as the limit left no room for the connections; and such responses were given up after 8.2 s, as the rate of 8,000 bytes a second was asked of responses with a stated length, too. Addresses are looked up in an index, and not among all upstreams, at each update of the list.

--- a/lanelift/daemon.py
+++ b/lanelift/daemon.py
@@ -40,7 +40,11 @@
         self._max_clients, max_connections = connection_caps(config.sockets, 1)
         settings = config.settings
         self._upstreams = Upstreams(
-            settings.limits, max_connections, settings.load_report_fields, config.memory_bytes
+            settings.limits,
+            max_connections,
+            settings.load_report_fields,
+            config.memory_bytes,
+            config.sockets,
         )
         self._dispatcher = Dispatcher(settings, config.seed, self._upstreams)
         self._fleet: Any = None
--- a/lanelift/net/connection_pool.py
+++ b/lanelift/net/connection_pool.py
@@ -58,6 +58,7 @@
         idle_timeout_s: The idle time after which a connection is closed, in seconds.
         max_connections: The cap.
         targets: The listed upstreams by number.
+        numbers_by_address: The number of the upstream at each address.
         mean_response_s: The smoothed response time, in seconds.
         open_connections: The number of connections, including those that are being opened.
         connect_tasks: The tasks of handshakes in progress.
@@ -70,6 +71,7 @@
         self.idle_timeout_s = limits.upstream_idle_timeout_ns * IDLE_TIMEOUT_FRACTION / 1e9
         self.max_connections = max_connections
         self.targets: dict[int, UpstreamTarget] = {}
+        self.numbers_by_address: dict[tuple[str, int], int] = {}
         self.mean_response_s = 0.0
         self.open_connections = 0
         self.connect_tasks: set[asyncio.Task[None]] = set()
@@ -98,6 +100,7 @@
                 self._remove(new.entry.id)
                 target = self.targets[new.entry.id] = UpstreamTarget(new)
             target.endpoint = new
+            self.numbers_by_address[new.host, new.port] = new.entry.id
             target.keeps_idle = new.entry.state is EndpointState.READY
             if not target.keeps_idle:
                 self._drop(target)
@@ -108,6 +111,9 @@
     def _remove(self, number: int) -> None:
         target = self.targets.pop(number, None)
         if target is not None:
+            address = target.endpoint.host, target.endpoint.port
+            if self.numbers_by_address.get(address) == number:
+                del self.numbers_by_address[address]
             target.keeps_idle = False
             self._drop(target)
 
--- a/lanelift/net/dispatch.py
+++ b/lanelift/net/dispatch.py
@@ -239,7 +239,14 @@
         self, endpoints: list[ResolvedEndpoint], is_snapshot: bool
     ) -> list[ResolvedEndpoint]:
         """Returns an update in which upstreams whose address a newer one has are removed."""
-        before = {number: target.endpoint for number, target in self.upstreams.pool.targets.items()}
+        pool = self.upstreams.pool
+        concerned = {endpoint.entry.id for endpoint in endpoints}
+        concerned.update(
+            pool.numbers_by_address[endpoint.host, endpoint.port]
+            for endpoint in endpoints
+            if (endpoint.host, endpoint.port) in pool.numbers_by_address
+        )
+        before = {number: pool.targets[number].endpoint for number in concerned if number in pool.targets}
         replaced = replaced_upstreams(
             {number: endpoint.listed_process for number, endpoint in before.items()},
             [endpoint.listed_process for endpoint in endpoints],
--- a/lanelift/net/exchange.py
+++ b/lanelift/net/exchange.py
@@ -17,7 +17,6 @@
 from lanelift.policy.events import AttemptResult
 from lanelift.policy.response_progress import (
     CLIENT_STALL_TIMEOUT_S,
-    SHORT_RESPONSE_BYTES,
     SILENCE_TIMEOUT_S,
     response_due_s,
 )
@@ -63,6 +62,7 @@
         last_progress_s: The time at which part of the response was last forwarded, on the loop's clock.
         streaming_since_s: When the response began to be streamed, moved on by the time in which the sink was
             paused, on the loop's clock.
+        response_bytes: The stated length of the streamed response; None if it is not stated.
         timeout_at_s: The attempt's time-out as it limits the streamed response (`response_due_s`).
         paused_at_s: When the sink was paused, on the loop's clock.
         distrust_until_s: Bytes received before this time (loop's clock) are not accepted as the response:
@@ -80,6 +80,7 @@
         "paused",
         "paused_at_s",
         "request",
+        "response_bytes",
         "sink",
         "streamed_bytes",
         "streaming",
@@ -116,6 +117,7 @@
         self.streaming_since_s = 0.0
         self.timeout_at_s = math.inf
         self.paused_at_s = 0.0
+        self.response_bytes: int | None = None
         self.distrust_until_s = 0.0
         self.streamed_bytes = 0
 
@@ -164,8 +166,8 @@
         """Starts to stream the response."""
         self.streaming = True
         length = head.header(b"content-length")
-        may_be_short = length is None or int(length) <= SHORT_RESPONSE_BYTES
-        if self.timer is not None and may_be_short:
+        self.response_bytes = int(length) if length is not None else None
+        if self.timer is not None:
             self.timeout_at_s = self.timer.when()
         self.cancel_timeout()
         self.last_progress_s = self.streaming_since_s = asyncio.get_running_loop().time()
@@ -181,7 +183,9 @@
         else:
             until_s = min(
                 self.last_progress_s + SILENCE_TIMEOUT_S,
-                response_due_s(self.streamed_bytes, self.streaming_since_s, self.timeout_at_s),
+                response_due_s(
+                    self.streamed_bytes, self.response_bytes, self.streaming_since_s, self.timeout_at_s
+                ),
             )
         if until_s <= loop.time():
             self.give_up(AttemptResult.TIMEOUT)
--- a/lanelift/net/memory.py
+++ b/lanelift/net/memory.py
@@ -65,13 +65,13 @@
         upstreams: The connections to upstreams that may keep something.
     """
 
-    def __init__(self, memory_bytes: int = DEFAULT_MEMORY_BYTES, events: EventLog | None = None) -> None:
-        self.limit_bytes = buffer_limit_bytes(memory_bytes, resident_bytes())
+    def __init__(self, memory_bytes: int, connections: int, events: EventLog) -> None:
+        self.limit_bytes = buffer_limit_bytes(memory_bytes, resident_bytes(), connections)
         self.buffered_bytes = 0
         self.read_bytes = len(READ_BUFFER)
         self.clients: dict[BufferingClient, None] = {}
         self.upstreams: dict[BufferingUpstream, None] = {}
-        self._events = events or EventLog()
+        self._events = events
         self._received_bytes = 0  # since the last check
 
     def client_received(self, client: BufferingClient, count: int) -> None:
--- a/lanelift/net/upstreams.py
+++ b/lanelift/net/upstreams.py
@@ -41,9 +41,10 @@
         max_connections: int,
         report_fields: Collection[str],
         memory_bytes: int = DEFAULT_MEMORY_BYTES,
+        sockets: int = 0,
     ) -> None:
         self.events = EventLog()
-        self.memory = MemoryGuard(memory_bytes, self.events)
+        self.memory = MemoryGuard(memory_bytes, sockets, self.events)
         self.pool = ConnectionPool(limits, max_connections, self.memory)
         self.report_fields = frozenset(report_fields)
         self.probe_path = b"/status/load" if report_fields else b"/health"
--- a/lanelift/policy/memory.py
+++ b/lanelift/policy/memory.py
@@ -12,7 +12,8 @@
 from typing import Protocol, TypeVar
 
 BUFFER_SHARE = 0.25  # of the memory that is left at the start
-MIN_BUFFER_BYTES = 1024 * 1024
+MIN_BUFFER_BYTES = 512 * 1024
+CONNECTION_BYTES = 6 * 1024  # memory that a connection and its request take besides what they buffer
 # The size of one read from a connection. The smaller one is used once half of the limit is used up, as each
 # connection may keep one read.
 READ_BYTES = 64 * 1024
@@ -40,14 +41,16 @@
 Holder = TypeVar("Holder", bound=BufferHolder)
 
 
-def buffer_limit_bytes(memory_bytes: int, resident_bytes: int) -> int:
+def buffer_limit_bytes(memory_bytes: int, resident_bytes: int, connections: int) -> int:
     """Return how many bytes of all peers together may be kept.
 
     Args:
         memory_bytes: The process's limit.
         resident_bytes: Its resident memory at the start.
+        connections: The most connections that it may have.
     """
-    return max(MIN_BUFFER_BYTES, int((memory_bytes - resident_bytes) * BUFFER_SHARE))
+    free_bytes = memory_bytes - resident_bytes - connections * CONNECTION_BYTES
+    return max(MIN_BUFFER_BYTES, int(free_bytes * BUFFER_SHARE))
 
 
 def read_size_bytes(buffered_bytes: int, limit_bytes: int) -> int:
--- a/tests/policy/test_memory.py
+++ b/tests/policy/test_memory.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from lanelift.policy.memory import (
+    CONNECTION_BYTES,
     GUARANTEED_BYTES,
     MIN_BUFFER_BYTES,
     READ_BYTES,
@@ -24,9 +25,11 @@
 
 
 def test_the_limit_leaves_most_of_the_memory_to_the_rest_of_the_process() -> None:
-    assert buffer_limit_bytes(32 * MB, 24 * MB) == 2 * MB
-    assert buffer_limit_bytes(192 * MB, 24 * MB) == 42 * MB
-    assert buffer_limit_bytes(16 * MB, 24 * MB) == MIN_BUFFER_BYTES
+    assert buffer_limit_bytes(32 * MB, 24 * MB, 0) == 2 * MB
+    assert buffer_limit_bytes(192 * MB, 24 * MB, 0) == 42 * MB
+    assert buffer_limit_bytes(192 * MB, 24 * MB, 1024) == 42 * MB - 256 * CONNECTION_BYTES
+    assert buffer_limit_bytes(32 * MB, 24 * MB, 1024) >= MIN_BUFFER_BYTES
+    assert buffer_limit_bytes(16 * MB, 24 * MB, 0) == MIN_BUFFER_BYTES
 
 
 def test_reads_are_small_once_half_of_the_limit_is_used_up() -> None:
--- a/tests/robustness/test_memory.py
+++ b/tests/robustness/test_memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -11,10 +12,24 @@
 from tests.fakes import answer, run
 from tests.robustness import clients
 from tests.robustness.clients import BODY, Attack, attacked
-from tests.robustness.support import LEAST_MEMORY_MB, Call, SteadyTraffic, Upstream, daemon
+from tests.robustness.support import (
+    DEADLINE_MS,
+    LEAST_MEMORY_MB,
+    OWN_BUFFER_BYTES,
+    Call,
+    Handler,
+    SteadyTraffic,
+    Upstream,
+    ask,
+    daemon,
+    head,
+    with_length,
+)
 
 CLIENTS = 500
 HOLD_S = 3.0
+# 500 clients connect and send at once, which takes part of a second by itself
+LATEST_S = DEADLINE_MS / 1000 + 0.5 + 0.5
 LONG_RESPONSE = answer(200, BODY[:1_000_000])
 LONG_RESPONSE_IN_CHUNKS = (
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -85,3 +100,42 @@
         clients.long_response_read_slowly,
     ]
     assert_within_limit(mix, tmp_path, LONG_RESPONSE_IN_CHUNKS)
+
+
+async def reads_and_hangs(call: Call) -> None:
+    await call.read_body()
+    await asyncio.sleep(5)
+
+
+async def reads_nothing(call: Call) -> None:
+    await asyncio.sleep(5)
+
+
+async def stops_within_its_response(call: Call) -> None:
+    await call.write(BUFFERED_RESPONSE[:60_000])
+    await asyncio.sleep(5)
+
+
+@pytest.mark.parametrize("handler", [reads_and_hangs, reads_nothing, stops_within_its_response])
+def test_messages_in_flight_of_hundreds_of_clients_stay_within_the_memory_limit(
+    tmp_path: Path, handler: Handler
+) -> None:
+    """Upstreams hang while each has part of a message of nearly 64 KiB, which is buffered here."""
+
+    def request(number: int) -> bytes:
+        name = f"full-{number}"
+        return head(name) if handler is stops_within_its_response else with_length(name, BODY[:64_000])
+
+    async def test() -> None:
+        upstreams = [Upstream(f"s-{i}", handler, OWN_BUFFER_BYTES) for i in range(40)]
+        async with daemon(tmp_path, upstreams) as balancer:
+            began_s = time.monotonic()
+            answers = await asyncio.gather(
+                *(ask(balancer.address, request(number)) for number in range(CLIENTS))
+            )
+            slowest_s = max(got.at_s for got in answers) - began_s
+            assert balancer.process.poll() is None, balancer.log
+            assert balancer.peak_mb < LEAST_MEMORY_MB, balancer.peak_mb
+            assert all(got.status for got in answers) and slowest_s < LATEST_S, slowest_s
+
+    run(test())
