Review case 6: stand-ins take a record and read the head of a request first

Cause: later cases need the time at which an attempt begins. Change: the stand-in of an upstream reads head and body apart; the case itself is as before.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -97,7 +97,7 @@
 async def case(record: Record) -> bool:
     """Returns whether a payout ran twice."""
     group = Group(record)
-    group.upstreams = [Upstream(f"s-{n}", group.handle) for n in range(3)]
+    group.upstreams = [Upstream(f"s-{n}", group.handle, record) for n in range(3)]
     for upstream in group.upstreams:
         upstream.start()
     discovery = Discovery(record)
--- a/review/support2/stage.py
+++ b/review/support2/stage.py
@@ -101,13 +101,23 @@
     at_s: float
 
 
-async def read_message(reader: asyncio.StreamReader) -> Message:
-    """Reads a message with a stated length, or with none. Raises IncompleteReadError at the end."""
+async def read_head(reader: asyncio.StreamReader) -> Message:
+    """Reads the head of a message. Raises IncompleteReadError at the end."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head.strip().split("\r\n")
     headers = {name.strip().lower(): value.strip() for name, _, value in (x.partition(":") for x in lines)}
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return Message(first.split(" "), headers, body, time.monotonic())
+    return Message(first.split(" "), headers, b"", time.monotonic())
+
+
+async def read_message(reader: asyncio.StreamReader) -> Message:
+    """Reads a message with a stated length, or with none. Raises IncompleteReadError at the end."""
+    return await read_body(reader, await read_head(reader))
+
+
+async def read_body(reader: asyncio.StreamReader, head: Message) -> Message:
+    """Reads the body of a message. Raises IncompleteReadError at the end."""
+    body = await reader.readexactly(int(head.headers.get("content-length", 0)))
+    return Message(head.start, head.headers, body, time.monotonic())
 
 
 def response(status: int, body: bytes, *rows: str) -> bytes:
@@ -173,18 +183,22 @@
 # ---- upstreams -------------------------------------------------------------------------------------------
 
 Handler = Callable[["Upstream", Message, asyncio.StreamWriter], Awaitable[None]]
+HeadHandler = Callable[["Upstream", Message], Awaitable[None]]
 
 
 class Upstream:
-    """An upstream: `handler` answers each request. Its new connections can be made to come up late.
+    """An upstream: `handler` answers each request, and `on_head` is notified of its head before that.
 
+    Its new connections can be made to come up late.
     While it is `late`, its queue of connections that wait for `accept` is full, so that the kernel drops the
     first packet of a new connection. The peer's kernel sends it again after a second: the connection comes
     up then. It is the usual way in which connections to a crowded server come up late.
     """
 
-    def __init__(self, name: str, handler: Handler) -> None:
-        self.name, self.handler = name, handler
+    def __init__(
+        self, name: str, handler: Handler, record: Record, on_head: HeadHandler | None = None
+    ) -> None:
+        self.name, self.handler, self.record, self.on_head = name, handler, record, on_head
         self.port = 0
         self.connections = 0
         self._socket = socket.socket()
@@ -241,10 +255,13 @@
         counted = False
         try:
             while True:
-                message = await read_message(reader)
+                head = await read_head(reader)
                 if not counted:
                     counted = True
                     self.connections += 1
+                if self.on_head is not None:
+                    await self.on_head(self, head)
+                message = await read_body(reader, head)
                 await self.handler(self, message, writer)
                 await writer.drain()
                 if writer.is_closing():
@@ -286,7 +303,6 @@
 
     Attributes:
         down: Whether each call ends with 503, and watches have ended.
-        failed_calls: Called with the name of the caller's call when one fails.
     """
 
     def __init__(self, record: Record) -> None:
@@ -295,7 +311,6 @@
         self.rows: dict[str, dict[str, Any]] = {}
         self.changed_at: dict[str, int] = {}
         self.down = False
-        self.on_failed: Callable[[], None] = lambda: None
         self._news = asyncio.Event()
         self._server: asyncio.Server | None = None
         self.port = 0
@@ -340,9 +355,11 @@
                             async with asyncio.timeout(max(0.0, until_s - time.monotonic())):
                                 await self._news.wait()
                 if self.down:
+                    self.record("discovery", f"answers 503 to {call.start[1]}")
                     writer.write(response(503, b"down\n"))
-                    self.on_failed()
                 else:
+                    if since is None:
+                        self.record("discovery", f"answers {call.start[1]}")
                     writer.write(response(200, self._list(since)))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError):
