Review case 9: an upgrade serves a request with the id of an open one

Cause: ids of classes that are safe to repeat are not shared between the two processes of an upgrade.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,10 @@
-"""After an outage of discovery, a balancer goes on sending to an upstream that drains."""
+"""During an upgrade, a request with the id of another client's open request is served."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
+import socket
 import sys
 import time
 from pathlib import Path
@@ -10,8 +12,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
 from support2.stage import (
-    MS,
-    Balancer,
+    HOST,
+    Answer,
     CouldNotRunError,
     Discovery,
     Message,
@@ -19,6 +21,7 @@
     Record,
     Upstream,
     ask,
+    free_port,
     main,
     request_bytes,
     request_class,
@@ -26,113 +29,103 @@
     settings,
 )
 
-DEADLINE_MS = 661
-BALANCERS, UPSTREAMS = 14, 5
-TOLD_AFTER_S = 6.0  # a change counts as told so long after discovery had it and could be reached
-GRACE_S = 0.5  # `stop_sending_within_ns`
-# each time limit is 0.05 s longer on sockets, and a balancer may be held up for 0.15 s before it writes
-SLACK_S = 0.2
-OUTAGE_S = 8.0
-WATCHED_S = 9.0  # how long the upstream that drains is watched after the outage
-OUTAGES = 4
-PAUSE_S = 0.1  # between the requests of one client
-
-SETTINGS = {
-    **settings(request_class("rate", DEADLINE_MS, 264)),
-    "registry_mode": "ask",
-    "replicas_of_me": BALANCERS,
-    "rules": {
-        "ask_within_ns": 10_000 * MS,
-        "cold_from": 0.31,
-        "cold_ns": 8700 * MS,
-        "fall_multiple": 2.5,
-        "grace_to_answer_ns": 5 * MS,
-        "overload_for_ns": 1500 * MS,
-        "stop_sending_within_ns": int(GRACE_S * 1000) * MS,
-    },
-}
+DEADLINE_MS = 3000
+SERVICE_S = 2.0
+CLIENTS = 6  # usual clients, whose requests are open during the upgrade
+ROUNDS = 24  # how often the bad client sends an id again
+KILL_AFTER_S = DEADLINE_MS / 1000 + 0.7
+
+SETTINGS = settings(request_class("quote", DEADLINE_MS, 1000))
 
 
 class Fleet:
-    """The upstreams, and since when each of them drains."""
+    """The upstreams, and which ids run."""
 
     def __init__(self, record: Record) -> None:
         self.record = record
-        self.drains_since_s: dict[str, float] = {}
-        self.broken: list[str] = []
+        self.running: set[str] = set()
+        self.copies = 0
 
     async def handle(self, upstream: Upstream, message: Message, writer: asyncio.StreamWriter) -> None:
-        """Serves a request; an upstream that drains still answers, as it stays up."""
-        since_s = self.drains_since_s.get(upstream.name)
+        """Serves a request; the request of a usual client takes long."""
         name = message.headers["x-request-id"]
-        if since_s is not None:
-            age_s = message.at_s - since_s
-            self.record("run", f"{upstream.name}, which drains, runs {name}, {age_s:.3f} s after the change")
-            if age_s > TOLD_AFTER_S + GRACE_S + SLACK_S:
-                self.broken.append(f"{upstream.name} got {name} {age_s:.3f} s after it began to drain")
-        await asyncio.sleep(0.02)
-        writer.write(response(200, name.encode()))
-
-
-async def send_steadily(record: Record, balancer: Balancer, ends: asyncio.Event) -> None:
-    """Sends one request after the other, until the end."""
-    number = 0
-    while not ends.is_set():
-        number += 1
-        name = f"{balancer.name}-{number}"
-        answer = await ask(balancer.port, request_bytes("GET", "rate", name, DEADLINE_MS), 2.0)
-        if answer.status != 200:
-            record("answer", f"{name}: {answer}")
-        await asyncio.sleep(PAUSE_S)
-
-
-async def outage(record: Record, discovery: Discovery, fleet: Fleet, upstream: Upstream) -> None:
-    """Discovery is down for a while; an upstream begins to drain at its return, and stays up."""
-    if record.trouble:
-        record("network", "discovery is down")
-        discovery.set_down(True)
-        await asyncio.sleep(OUTAGE_S)
-        record("network", "discovery is up")
-        discovery.set_down(False)
-    discovery.put(upstream.entry("Terminating"))
-    fleet.drains_since_s[upstream.name] = time.monotonic()
-    record("drain", f"{upstream.name} begins to drain")
-    await asyncio.sleep(WATCHED_S)
+        is_copy = name in self.running
+        self.copies += is_copy
+        self.record("run", f"{upstream.name} runs {name}{', which runs already' if is_copy else ''}")
+        if is_copy:
+            writer.write(response(200, f"answer to {name}".encode()))
+            return
+        self.running.add(name)
+        await asyncio.sleep(SERVICE_S)
+        self.running.discard(name)
+        writer.write(response(200, f"answer to {name}".encode()))
+
+
+async def send_again(record: Record, port: int, names: list[str], ends_s: float) -> list[str]:
+    """Sends the ids of open requests again, as a bad client does; returns those that were served."""
+    served = []
+    for number in range(ROUNDS):
+        name = names[number % len(names)]
+        if time.monotonic() < ends_s:
+            answer = await ask(port, request_bytes("GET", "quote", name, DEADLINE_MS), 3.0)
+            record("bad", f"{name}, again: {answer}")
+            await asyncio.sleep(0.02)
+            if answer.status == 200:
+                served.append(name)
+    return served
 
 
 async def case(record: Record) -> bool:
-    """Returns whether an upstream that drains got a request after the grace."""
+    """Returns whether the bad client was served."""
     fleet = Fleet(record)
-    upstreams = [Upstream(f"s-{n}", fleet.handle, record) for n in range(UPSTREAMS)]
+    upstreams = [Upstream(f"s-{n}", fleet.handle, record) for n in range(4)]
     for upstream in upstreams:
         upstream.start()
     discovery = Discovery(record)
     await discovery.start()
     discovery.put(*(upstream.entry() for upstream in upstreams))
     platform = Platform(record, SETTINGS, discovery)
-    ends = asyncio.Event()
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((HOST, 0))
+    listener.listen(256)
+    port = listener.getsockname()[1]
     try:
-        known = [upstream.entry() for upstream in upstreams]
-        balancers = [platform.start(f"n{n}", known, me=n) for n in range(BALANCERS)]
-        for balancer in balancers:
-            await platform.until_ready(balancer)
-        clients = [asyncio.create_task(send_steadily(record, balancer, ends)) for balancer in balancers]
-        await asyncio.sleep(4.0)  # each balancer watches by now
-        for number in range(OUTAGES if record.trouble else 1):
-            if not fleet.broken:
-                await outage(record, discovery, fleet, upstreams[number])
-        ends.set()
-        await asyncio.gather(*clients)
+        admin = [free_port(), free_port()]
+        old = platform.start("n0", listener=listener, operator=f"{HOST}:{admin[0]}")
+        await platform.until_ready(old, admin[0], "/api/ready")
+        new = platform.start("n0", listener=listener, operator=f"{HOST}:{admin[1]}")
+        await platform.until_ready(new, admin[1], "/api/ready")
+        # so many clients that it does not matter which process accepts which connection
+        names = [f"quote-{number}" for number in range(CLIENTS)]
+        started_s = time.monotonic()
+        requests = [
+            asyncio.create_task(ask(port, request_bytes("GET", "quote", name, DEADLINE_MS), 4.0))
+            for name in names
+        ]
+        await asyncio.sleep(0.05)
+        record("signal", "SIGTERM to the old process")
+        old.send(signal.SIGTERM)
+        served: list[str] = []
+        if record.trouble:
+            served = await send_again(record, port, names, started_s + SERVICE_S - 0.3)
+        answers: list[Answer] = await asyncio.gather(*requests)
+        for name, answer in zip(names, answers, strict=True):
+            record("answer", f"{name}: {answer}")
+        await asyncio.sleep(max(0.0, started_s + KILL_AFTER_S - time.monotonic()))
+        old.send(signal.SIGKILL)
     finally:
+        listener.close()
         platform.close()
         discovery.close()
         for upstream in upstreams:
             upstream.close()
-    if not fleet.drains_since_s:
-        raise CouldNotRunError("no upstream began to drain")
-    for text in fleet.broken:
-        record("broken", text)
-    return bool(fleet.broken)
+    if not any(answer.status == 200 for answer in answers):
+        raise CouldNotRunError("no usual client was served")
+    for name in served:
+        record("broken", f"the bad client was served with the id {name}, which another client's request has")
+    record("count", f"{fleet.copies} requests were sent to an upstream while the same id ran")
+    return bool(served)
 
 
 if __name__ == "__main__":
