--- a/review/10/case.py
+++ b/review/10/case.py
@@ -37,8 +37,8 @@
 LEAVES_AFTER_S = 0.1
 
 SETTINGS = settings(
-    request_class("rate", DEADLINE_MS, 2000),
-    request_class("upload", DEADLINE_MS, 2000, repeat="non_idempotent"),
+    request_class("rate", DEADLINE_MS, 1000),
+    request_class("upload", DEADLINE_MS, 1000, repeat="non_idempotent"),
     connect_timeout_ns=CONNECT_TIMEOUT_MS * MS,
 )
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -34,11 +34,11 @@
 PAYOUTS = 10
 
 SETTINGS = settings(
-    request_class("rate", DEADLINE_MS, 2000),
+    request_class("rate", DEADLINE_MS, 1000),
     request_class(
         "payout",
         DEADLINE_MS,
-        2000,
+        1000,
         repeat="idempotency_key",
         dedup_scope="all",
         window_ns=int(WINDOW_S * 1000) * MS,
