An attempt is written only if its window, client, upstream and deadline still hold

Cause: these conditions were checked when an attempt was decided and not when it was written. An attempt that waited for its connection was written whenever that came up. The same held for an attempt that a hedged one overtook, for a connection whose task had not begun when its upstream began to drain, for a decision of the same turn as the drain, and for X-Deadline-Ms, which told the time that was left at the decision.

Change: each request to an upstream is written in ConnectionPool._write, which has its bytes made there and asks policy/write_check.py whether they may be written.

--- a/lanelift/net/attempts.py
+++ b/lanelift/net/attempts.py
@@ -27,6 +27,7 @@
     ResponseStarted,
 )
 from lanelift.policy.settings import Settings
+from lanelift.policy.write_check import WriteConditions, write_refusal
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +45,7 @@
         upstream: The upstream's number.
         started_ns: When the attempt was started (monotonic clock); with a streamed body, when the client sent
             the body's last byte.
+        expires_ns: When the attempt times out (monotonic clock); None if only its request's deadline counts.
     """
 
     runner: AttemptRunner
@@ -51,6 +53,7 @@
     number: int
     upstream: int
     started_ns: int
+    expires_ns: int | None = None
 
     def duration_ns(self) -> int:
         """Returns the attempt's duration, without the time that its response waited unread in this
@@ -63,6 +66,39 @@
         """Returns whether the request is open and its client connected, by the kernel's state."""
         return not self.request.closed and self.request.client.is_connected()
 
+    def prepare(self, upstream_ready: bool) -> bytes | None:
+        """Returns the request's bytes, to be written now; None if it may not be written any more.
+
+        The time that the upstream is told is what is left to the client at this moment.
+        """
+        request = self.request
+        client_connected = self.is_client_connected()
+        now_ns = time.monotonic_ns()
+        left_ns = self._left_ns(now_ns)
+        refusal = write_refusal(
+            self.runner.settings.classes[request.arrival.class_name],
+            WriteConditions(upstream_ready, client_connected, left_ns, request.first_write_ns(self.number)),
+            now_ns,
+        )
+        if refusal is not None:
+            detail = f"request {request.arrival.request}: {refusal.value}"
+            self.runner.events.record(EventKind.WRITE_REFUSED, detail)
+            return None
+        request.writes_ns[self.number] = now_ns
+        wait_ms = max(1, left_ns // NS_PER_MS)
+        return encode_attempt(
+            request.method, request.target, request.headers, request.body, wait_ms, request.upload
+        )
+
+    def _left_ns(self, now_ns: int) -> int:
+        """Returns how long the attempt may still take, and the client still waits."""
+        request = self.request
+        if request.arrival.body_pending and request.upload is not None:
+            left_ns = request.upload.deadline.due_ns - now_ns
+        else:
+            left_ns = request.arrival.deadline_ns - now_ns
+        return left_ns if self.expires_ns is None else min(left_ns, self.expires_ns - now_ns)
+
     def start_response(self, head: Response) -> None:
         """Starts to stream a response that is too long to be buffered. The request's deadline no longer
         applies.
@@ -102,8 +138,8 @@
         request, number, duration_ns = self.request, self.number, self.duration_ns()
         requests = self.runner.requests
         exchange = request.attempts[number]
-        if exchange is not None and exchange.written and result not in NOT_EXECUTED:
-            request.may_have_run = True
+        if exchange is None or not exchange.written or result in NOT_EXECUTED:
+            request.writes_ns.pop(number, None)
         request.attempts[number] = None
         request.unfinished_attempts -= 1
         request.last_attempt_timed_out = result is AttemptResult.TIMEOUT
@@ -173,7 +209,7 @@
             return
         if is_allowed:
             try:
-                self._send(attempt, min(action.timeout_ns or left_ns, left_ns))
+                self._send(attempt, action.timeout_ns, left_ns)
             except Exception:  # the attempt's only outcome is reported after this block
                 self.requests.fail_after_exception("an attempt could not start", [action])
         if request.attempts[number] is None:
@@ -190,19 +226,20 @@
             and not (upload is not None and upload.consumed)
         )
 
-    def _send(self, attempt: Attempt, wait_ns: int) -> None:
+    def _send(self, attempt: Attempt, timeout_ns: int, left_ns: int) -> None:
         request = attempt.request
-        message = encode_attempt(
-            request.method,
-            request.target,
-            request.headers,
-            request.body,
-            max(1, wait_ns // NS_PER_MS),
-            request.upload,
-        )
-        timeout_s = None if request.arrival.body_pending else wait_ns / NS_PER_S
+        if timeout_ns:
+            attempt.expires_ns = attempt.started_ns + timeout_ns
+        wait_ns = min(timeout_ns or left_ns, left_ns)
         request.attempts[attempt.number] = self._upstreams.start_attempt(
-            attempt.upstream, message, timeout_s, attempt.finish, self._count_written, attempt, request.upload
+            attempt.upstream,
+            attempt.prepare,
+            None if request.arrival.body_pending else wait_ns / NS_PER_S,
+            attempt.finish,
+            self._count_written,
+            attempt,
+            request.upload,
+            request.method == b"GET",
         )
 
     def _count_written(self) -> None:
--- a/lanelift/net/connection_pool.py
+++ b/lanelift/net/connection_pool.py
@@ -39,14 +39,15 @@
         idle: Its idle connections in the order in which they were released, the newest last.
         connecting: Exchanges that wait for a new connection.
         idle_timer: The timer that closes the connection that has been idle for longest.
-        keeps_idle: Whether released connections are kept.
+        is_ready: Whether the upstream is listed as ready: requests may be written, and released connections
+            are kept.
     """
 
     endpoint: ResolvedEndpoint
     idle: list[UpstreamConnection] = field(default_factory=list)
     connecting: set[Exchange] = field(default_factory=set)
     idle_timer: asyncio.TimerHandle | None = None
-    keeps_idle: bool = True
+    is_ready: bool = True
 
 
 class ConnectionPool:
@@ -101,8 +102,8 @@
                 target = self.targets[new.entry.id] = UpstreamTarget(new)
             target.endpoint = new
             self.numbers_by_address[new.host, new.port] = new.entry.id
-            target.keeps_idle = new.entry.state is EndpointState.READY
-            if not target.keeps_idle:
+            target.is_ready = new.entry.state is EndpointState.READY
+            if not target.is_ready:
                 self._drop(target)
         if is_snapshot:
             for number in self.targets.keys() - listed:
@@ -114,7 +115,7 @@
             address = target.endpoint.host, target.endpoint.port
             if self.numbers_by_address.get(address) == number:
                 del self.numbers_by_address[address]
-            target.keeps_idle = False
+            target.is_ready = False
             self._drop(target)
 
     def _drop(self, target: UpstreamTarget) -> None:
@@ -131,22 +132,25 @@
     def start(self, target: UpstreamTarget, exchange: Exchange, is_probe: bool = False) -> None:
         """Starts an exchange on an idle or a new connection. Its outcome is never reported within this call.
 
-        If its client has disconnected, or the cap is reached and no connection to any upstream is idle, the
-        exchange ends with NOT_SENT.
+        If its request may not be written any more, or the cap is reached and no connection to any upstream is
+        idle, the exchange ends with NOT_SENT.
         """
         loop = asyncio.get_running_loop()
-        if _client_left(exchange):
-            loop.call_soon(exchange.give_up, AttemptResult.NOT_SENT)
-            return
         connection = self._take_idle(target, exchange, is_probe)
         if connection is not None:
-            connection.start(exchange)
+            if not self._write(target, connection, exchange):
+                loop.call_soon(exchange.give_up, AttemptResult.NOT_SENT)
+            return
+        if not target.is_ready or _client_left(exchange):
+            loop.call_soon(exchange.give_up, AttemptResult.NOT_SENT)
             return
         if self.open_connections >= self.max_connections and not self._close_longest_idle():
             self._log_shortage()
             loop.call_soon(exchange.give_up, AttemptResult.NOT_SENT)
             return
         self.open_connections += 1
+        # recorded now and not when the task begins, so that a drain in between gives the exchange up
+        target.connecting.add(exchange)
         task = loop.create_task(self._connect(target, exchange))
         self.connect_tasks.add(task)
         task.add_done_callback(self.connect_tasks.discard)
@@ -169,10 +173,7 @@
         for place in range(settled - 1, -1, -1):
             if _is_usable(idle[place]):
                 return idle.pop(place)
-        may_repeat = (
-            exchange.request.startswith(b"GET ")
-            and self.mean_response_s >= MIN_RESPONSE_TO_SETTLE_RATIO * SETTLE_S
-        )
+        may_repeat = exchange.is_get and self.mean_response_s >= MIN_RESPONSE_TO_SETTLE_RATIO * SETTLE_S
         if idle and not settled and (is_probe or may_repeat) and _is_usable(idle[0]):
             exchange.distrust_until_s = 0.0 if is_probe else idle[0].idle_since + SETTLE_S
             return idle.pop(0)
@@ -197,7 +198,6 @@
         timer = HandshakeTimer(
             self.handshakes.timeout_s, lambda: exchange.give_up(AttemptResult.CONNECT_FAILED)
         )
-        target.connecting.add(exchange)
         try:
             async with asyncio.timeout(self.connect_timeout_s):
                 await loop.create_connection(lambda: connection, target.endpoint.host, target.endpoint.port)
@@ -216,19 +216,32 @@
         self._connected(target, connection, exchange)
 
     def _connected(self, target: UpstreamTarget, connection: UpstreamConnection, exchange: Exchange) -> None:
-        """Starts an exchange on its new connection, unless the exchange was given up during the handshake."""
+        """Starts an exchange on its new connection, unless its request may not be written any more."""
         if connection.closed:
             exchange.give_up(AttemptResult.CONNECT_FAILED)
-        elif exchange.on_finished is None or _client_left(exchange):
+        elif not self._write(target, connection, exchange):
             exchange.give_up(AttemptResult.NOT_SENT)
-            self._release(target, connection)  # another exchange can use the new connection
-        else:
+
+    def _write(self, target: UpstreamTarget, connection: UpstreamConnection, exchange: Exchange) -> bool:
+        """Writes the request of an exchange, or releases the connection if that is not allowed any more.
+
+        Failure guarded against: an attempt is decided at one time and written at a later one, for example
+        when its connection comes up late. By then its client may have left, its upstream may drain, or the
+        time for it may be over. So each request to an upstream is written here, where this is checked again.
+
+        Returns:
+            Whether the request was written.
+        """
+        if exchange.prepare(target.is_ready):
             connection.start(exchange)
+            return True
+        self._release(target, connection)  # another exchange can use the connection
+        return False
 
     # ---- idle connections --------------------------------------------------------------------------------
 
     def _release(self, target: UpstreamTarget, connection: UpstreamConnection) -> None:
-        if not target.keeps_idle or self.open_connections > self.max_connections:
+        if not target.is_ready or self.open_connections > self.max_connections:
             connection.abort()
             return
         connection.idle_since = asyncio.get_running_loop().time()
--- a/lanelift/net/exchange.py
+++ b/lanelift/net/exchange.py
@@ -41,12 +41,18 @@
 class Exchange:
     """A request and its outcome, which is reported exactly once: OK with a response, or the kind of failure.
 
-    With a `sink`, a response that is too long to be buffered is streamed: from `start_streaming` on the
-    limits of `lanelift.policy.response_progress` apply, and the outcome OK has a response without a body.
+    With `prepare_request`, the bytes to write are made just before they are written, when the conditions of
+    the write are checked again. With a `sink`, a response that is too long to be buffered is streamed: from
+    `start_streaming` on the limits of `lanelift.policy.response_progress` apply, and the outcome OK has a
+    response without a body.
 
     Attributes:
-        request: The bytes to write: the head, and the body unless the body is an `upload`. Empty once they
-            were written.
+        request: The bytes to write: the head, and the body unless the body is an `upload`. Empty before
+            `prepare` and once they were written.
+        prepare_request: Called just before the write, with whether the upstream is listed as ready; returns
+            the bytes to write, or None if the request may not be written any more. None if `request` is
+            given.
+        is_get: Whether the method is GET.
         on_finished: Called once with the outcome; None afterwards.
         max_body_bytes: The longest response body that is buffered.
         on_written: Called once when the request's last byte was written.
@@ -73,12 +79,14 @@
     __slots__ = (
         "connection",
         "distrust_until_s",
+        "is_get",
         "last_progress_s",
         "max_body_bytes",
         "on_finished",
         "on_written",
         "paused",
         "paused_at_s",
+        "prepare_request",
         "request",
         "response_bytes",
         "sink",
@@ -100,8 +108,12 @@
         on_written: Callable[[], None] | None = None,
         sink: ResponseSink | None = None,
         upload: Upload | None = None,
+        prepare_request: Callable[[bool], bytes | None] | None = None,
+        is_get: bool = False,
     ) -> None:
         self.request = request
+        self.prepare_request = prepare_request
+        self.is_get = is_get
         self.upload = upload
         self.on_written = on_written
         self.sink = sink
@@ -152,7 +164,26 @@
         if connection is not None:
             connection.abort()
 
-    # ---- progress ----------------------------------------------------------------------------------------
+    # ---- the request -------------------------------------------------------------------------------------
+
+    def prepare(self, upstream_ready: bool) -> bool:
+        """Makes the bytes to write, just before the write.
+
+        Args:
+            upstream_ready: Whether the upstream is listed as ready.
+
+        Returns:
+            Whether the request may be written; False also if the exchange was given up.
+        """
+        if self.on_finished is None:
+            return False
+        if self.prepare_request is None:
+            return upstream_ready
+        request = self.prepare_request(upstream_ready)
+        if request is None or self.on_finished is None:
+            return False
+        self.request = request
+        return True
 
     def request_written(self) -> None:
         """Records that the request's last byte was written."""
@@ -162,6 +193,8 @@
         if on_written is not None:
             on_written()
 
+    # ---- progress ----------------------------------------------------------------------------------------
+
     def start_streaming(self, head: Response) -> None:
         """Starts to stream the response."""
         self.streaming = True
--- a/lanelift/net/requests.py
+++ b/lanelift/net/requests.py
@@ -44,7 +44,7 @@
         unfinished_attempts: The number of attempts without an outcome.
         closed: Whether the request was answered or its client has disconnected.
         holds_id: Whether its id was taken, so that no other request with this id runs.
-        may_have_run: Whether an attempt that has ended may have run.
+        writes_ns: When each attempt that may have run was written (monotonic clock), by the attempt's number.
         last_attempt_timed_out: Whether the most recently ended attempt ended by its time-out.
         streaming_attempt: The number of the attempt whose response is streamed.
         overdue_timer: The timer that fails the request if it has no answer soon after its deadline.
@@ -61,11 +61,15 @@
     unfinished_attempts: int = 0
     closed: bool = False
     holds_id: bool = False
-    may_have_run: bool = False
+    writes_ns: dict[int, int] = field(default_factory=dict)
     last_attempt_timed_out: bool = False
     streaming_attempt: int | None = None
     overdue_timer: asyncio.TimerHandle | None = None
 
+    def first_write_ns(self, besides: int) -> int | None:
+        """Returns when the first attempt that may have run was written, without the attempt of a number."""
+        return min((ns for number, ns in self.writes_ns.items() if number != besides), default=None)
+
 
 class RequestTable:
     """Open requests by identifier: at most `max_open_requests` of the settings, and closed requests that
@@ -149,7 +153,7 @@
 
     def release_id(self, request: OpenRequest) -> None:
         """Gives back the id of a request that has not run."""
-        if request.holds_id and not request.may_have_run:
+        if request.holds_id and not request.writes_ns:
             self.ids.release(request.arrival.request)
 
     def fail_after_exception(self, message: str, concerned: Sequence[Event | Action]) -> None:
--- a/lanelift/net/upstreams.py
+++ b/lanelift/net/upstreams.py
@@ -52,23 +52,25 @@
     def start_attempt(
         self,
         number: int,
-        request: bytes,
+        request: bytes | Callable[[bool], bytes | None],
         timeout_s: float | None,
         on_finished: AttemptCallback,
         on_written: Callable[[], None] | None = None,
         sink: ResponseSink | None = None,
         upload: Upload | None = None,
+        is_get: bool = False,
     ) -> Exchange | None:
         """Starts an attempt. Its outcome is never reported within this call.
 
         Args:
             number: The upstream's number.
-            request: The bytes to write.
+            request: The bytes to write, or what makes them at the write (`Exchange.prepare_request`).
             timeout_s: How long the attempt may take, in seconds; None if its time-out is set later.
             on_finished: Called once with the outcome.
             on_written: Called when the last byte was written.
             sink: The receiver of a response that is too long to be buffered.
             upload: The request's streamed body.
+            is_get: Whether the method is GET.
 
         Returns:
             The exchange, or None if the upstream is not listed.
@@ -88,7 +90,15 @@
                 pool.mean_response_s += (took_s - pool.mean_response_s) / RESPONSE_TIME_SMOOTHING
             on_finished(classify_response(result, response), response, report)
 
-        exchange = Exchange(request, finished, on_written=on_written, sink=sink, upload=upload)
+        exchange = Exchange(
+            request if isinstance(request, bytes) else b"",
+            finished,
+            on_written=on_written,
+            sink=sink,
+            upload=upload,
+            prepare_request=None if isinstance(request, bytes) else request,
+            is_get=is_get,
+        )
         pool.start(target, exchange)
         if timeout_s is not None:
             # the time-out is set last, so that an exchange that failed to start has none
@@ -113,7 +123,7 @@
             on_finished(result, report)
 
         request = encode_message(b"GET %b HTTP/1.1" % self.probe_path, [(b"Host", host)])
-        exchange = Exchange(request, finished)
+        exchange = Exchange(request, finished, is_get=True)
         self.pool.start(target, exchange, is_probe=True)
         exchange.expire_in(self.pool.connect_timeout_s)
         return True
--- a/lanelift/policy/legality.py
+++ b/lanelift/policy/legality.py
@@ -17,6 +17,7 @@
 from lanelift.policy.restrictions import class_may_use
 from lanelift.policy.settings import DeduplicationScope, Idempotency, Limits
 from lanelift.policy.upstreams import Upstream
+from lanelift.policy.write_check import is_window_open
 
 MAX_IN_FLIGHT = 1
 MAX_IN_FLIGHT_WITH_HEDGING = 2
@@ -61,17 +62,17 @@
     """Rule 2: the request has not run yet, or may be repeated at this upstream without harm.
 
     An idempotent request may be repeated. A request with an idempotency key may be repeated within its
-    deduplication window at upstreams that drop its repeats. A non-idempotent request may not be repeated.
+    deduplication window at upstreams that drop its repeats. A non-idempotent request may not be repeated. The
+    window is checked once more when the attempt is written (`write_check.py`).
     """
     may_have_run = [attempt for attempt in request.attempts if attempt.may_have_run]
     request_class = request.request_class
     if not may_have_run or request_class.idempotency is Idempotency.IDEMPOTENT:
         return True
-    within_window = (
-        request_class.idempotency is Idempotency.IDEMPOTENCY_KEY
-        and now - may_have_run[0].sent_ns < request_class.deduplication_window_ns
-    )
-    return within_window and all(
+    if request_class.idempotency is Idempotency.NON_IDEMPOTENT:
+        return False
+    first_sent_ns = min(attempt.sent_ns for attempt in may_have_run)
+    return is_window_open(request_class, first_sent_ns, now) and all(
         _share_deduplication(request, attempt.upstream, upstream) for attempt in may_have_run
     )
 
