A rate limit's wait is never a nanosecond too short

Callers that wait for exactly the time of Retry-After could be refused once more.

Cause: the tokens are added up in floating point, and at the time that `TokenBucket.wait_ns` returned their sum could be just below one. Change: a nanosecond more is returned in that case. The example that the random test found by chance in a whole run is kept.

Measured: the example fails before and passes now.

--- a/lanelift/policy/token_bucket.py
+++ b/lanelift/policy/token_bucket.py
@@ -45,7 +45,9 @@
         self.tokens = min(self.capacity, self.tokens)
         if self.tokens >= 1:
             return 0
-        return math.ceil((1 - self.tokens) / rate_per_s * SECOND_NS)
+        wait_ns = math.ceil((1 - self.tokens) / rate_per_s * SECOND_NS)
+        # rounding may leave the sum of the tokens a little below one at that time
+        return wait_ns if self.tokens + rate_per_s * wait_ns / SECOND_NS >= 1 else wait_ns + 1
 
     def is_full(self, now: int) -> bool:
         """Return whether the bucket is full. A full bucket equals a new one, and can be forgotten."""
--- a/tests/policy/test_directory.py
+++ b/tests/policy/test_directory.py
@@ -7,7 +7,7 @@
 import random
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import settings as hyp
 from hypothesis import strategies as st
 
@@ -318,6 +318,7 @@
     st.floats(0.5, 50),
     st.lists(st.integers(0, 2 * SECOND), min_size=1, max_size=200),
 )
+@example(5.0, [0, 0, 2434, 4637, 3, 133])  # rounding left less than a token after the returned time
 @hyp(max_examples=50, deadline=None)
 def test_no_more_requests_pass_than_the_limit_and_its_burst(rate: float, gaps: list[int]) -> None:
     """Whatever the gaps between requests are, no more requests pass than the limit allows, plus a burst: one
