A copy of a response that its sender's kernel held back answers no other request

Cause: an upstream without TCP_NODELAY has its kernel hold back a small write behind an answer until the answer is acknowledged. Our kernel did that with the next request, so that the copy came behind it, after the connection had rested for 10 ms.

Change: a response is acknowledged as soon as it is complete, so that the copy comes while the connection rests. Bytes that come before the request is acknowledged are not its response. `peer_state` returns a named type.

--- a/lanelift/net/client_connection.py
+++ b/lanelift/net/client_connection.py
@@ -296,7 +296,7 @@
         """
         assert self.transport is not None
         now = time.monotonic_ns()
-        age_ns = peer_state(self.transport.get_extra_info("socket"))[1]
+        age_ns = peer_state(self.transport.get_extra_info("socket")).last_data_ns
         upload.deadline.observe(
             now, now - age_ns, self.parser.streamed_bytes, len(self.unparsed), unread_bytes(self.transport)
         )
--- a/lanelift/net/client_input.py
+++ b/lanelift/net/client_input.py
@@ -79,11 +79,11 @@
             self.received_bytes += count
             return
         assert self.transport is not None
-        disconnected, age_ns = peer_state(self.transport.get_extra_info("socket"))
-        if disconnected:
+        state = peer_state(self.transport.get_extra_info("socket"))
+        if state.ended:
             self.abort()
             return
-        self.received_ns = time.monotonic_ns() - age_ns
+        self.received_ns = time.monotonic_ns() - state.last_data_ns
         self.received_bytes += count
         if len(self.unparsed) > MAX_PIPELINED_BYTES:
             self._record(EventKind.SENT_AHEAD, f"{len(self.unparsed)} bytes")
@@ -102,7 +102,7 @@
 
     def is_connected(self) -> bool:
         """Returns whether the client of the open request is still connected, and ends the request if not."""
-        if self.transport is not None and peer_state(self.transport.get_extra_info("socket"))[0]:
+        if self.transport is not None and peer_state(self.transport.get_extra_info("socket")).ended:
             self._disconnected()
             self.abort()
         return self.request is not None
--- a/lanelift/net/connection_pool.py
+++ b/lanelift/net/connection_pool.py
@@ -10,11 +10,13 @@
 from dataclasses import dataclass, field
 
 from lanelift.net.endpoints import ResolvedEndpoint
+from lanelift.net.event_log import EventKind, EventLog
 from lanelift.net.exchange import Exchange
 from lanelift.net.handshakes import HandshakeEstimator, HandshakeTimer
 from lanelift.net.memory import MemoryGuard
 from lanelift.net.socket_options import is_quiescent
 from lanelift.net.upstream_connection import UpstreamConnection
+from lanelift.policy.connection_reuse import UpstreamTrust
 from lanelift.policy.events import AttemptResult, EndpointState
 from lanelift.policy.settings import Limits
 
@@ -22,10 +24,10 @@
 
 # Idle connections are closed after this fraction of the upstreams' own idle time-out.
 IDLE_TIMEOUT_FRACTION = 0.6
-SETTLE_S = 0.01  # a connection counts as settled this long after its last response
-# An unsettled connection may serve GET requests if the mean response time is at least this many times
-# SETTLE_S.
+# An unsettled connection may serve GET requests if the mean response time is at least this many times the
+# time in which the connection settles.
 MIN_RESPONSE_TO_SETTLE_RATIO = 4
+NS_PER_S = 1e9
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 SHORTAGE_LOG_INTERVAL_S = 5.0
 
@@ -41,6 +43,7 @@
         idle_timer: The timer that closes the connection that has been idle for longest.
         is_ready: Whether the upstream is listed as ready: requests may be written, and released connections
             are kept.
+        trust: How far the upstream is trusted to send nothing but the responses to its requests.
     """
 
     endpoint: ResolvedEndpoint
@@ -48,6 +51,7 @@
     connecting: set[Exchange] = field(default_factory=set)
     idle_timer: asyncio.TimerHandle | None = None
     is_ready: bool = True
+    trust: UpstreamTrust = field(default_factory=UpstreamTrust)
 
 
 class ConnectionPool:
@@ -64,9 +68,16 @@
         open_connections: The number of connections, including those that are being opened.
         connect_tasks: The tasks of handshakes in progress.
         memory: Limits what the connections buffer.
+        events: Counts the bytes that upstreams sent to no request.
     """
 
-    def __init__(self, limits: Limits, max_connections: int, memory: MemoryGuard | None = None) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        max_connections: int,
+        memory: MemoryGuard | None = None,
+        events: EventLog | None = None,
+    ) -> None:
         self.connect_timeout_s = limits.connect_timeout_ns / 1e9
         self.handshakes = HandshakeEstimator(self.connect_timeout_s)
         self.idle_timeout_s = limits.upstream_idle_timeout_ns * IDLE_TIMEOUT_FRACTION / 1e9
@@ -77,6 +88,7 @@
         self.open_connections = 0
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.memory = memory
+        self.events = events
         self._shortage_logged_until = 0.0
 
     # ---- the endpoint list -------------------------------------------------------------------------------
@@ -162,20 +174,25 @@
 
         Failure guarded against: bytes that a server sends after a response, such as a second copy or noise,
         would be read as the answer to the next request. They arrive within milliseconds, so a connection is
-        used only after `SETTLE_S`. If no connection has settled, the oldest may serve a load probe, whose
-        wrong result would reach no client. The oldest may also serve a GET request if responses take long on
-        average; bytes that arrive before the exchange's `distrust_until_s` are not accepted as its response.
+        used only after it has settled (`lanelift.policy.connection_reuse`). If none has, and the upstream is
+        trusted, the oldest may serve a load probe, whose wrong result would reach no client. The oldest may
+        also serve a GET request if responses take long on average; bytes that arrive before the exchange's
+        `distrust_until_s` are not accepted as its response.
         """
         idle = target.idle
-        settled_s = asyncio.get_running_loop().time() - SETTLE_S
+        now_s = asyncio.get_running_loop().time()
+        now_ns = int(now_s * NS_PER_S)
+        settle_s = target.trust.settle_ns(now_ns) / NS_PER_S
+        settled_s = now_s - settle_s
         # A binary search, as under a high load most idle connections have not settled.
         settled = bisect_right(idle, settled_s, key=lambda connection: connection.idle_since)
         for place in range(settled - 1, -1, -1):
             if _is_usable(idle[place]):
                 return idle.pop(place)
-        may_repeat = exchange.is_get and self.mean_response_s >= MIN_RESPONSE_TO_SETTLE_RATIO * SETTLE_S
-        if idle and not settled and (is_probe or may_repeat) and _is_usable(idle[0]):
-            exchange.distrust_until_s = 0.0 if is_probe else idle[0].idle_since + SETTLE_S
+        may_repeat = exchange.is_get and self.mean_response_s >= MIN_RESPONSE_TO_SETTLE_RATIO * settle_s
+        may_be_unsettled = (is_probe or may_repeat) and target.trust.is_trusted(now_ns)
+        if idle and not settled and may_be_unsettled and _is_usable(idle[0]):
+            exchange.distrust_until_s = 0.0 if is_probe else idle[0].idle_since + settle_s
             return idle.pop(0)
         return None
 
@@ -192,6 +209,7 @@
             lambda connection: self._release(target, connection),
             lambda connection: self._forget(target, connection),
             self.memory,
+            lambda: self._distrust(target),
         )
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -238,6 +256,12 @@
         self._release(target, connection)  # another exchange can use the connection
         return False
 
+    def _distrust(self, target: UpstreamTarget) -> None:
+        """Trusts an upstream less for a while, as it has sent bytes that belong to no request."""
+        target.trust.unrequested_bytes_received(int(asyncio.get_running_loop().time() * NS_PER_S))
+        if self.events is not None:
+            self.events.record(EventKind.UNREQUESTED_BYTES, f"upstream {target.endpoint.entry.id:x}")
+
     # ---- idle connections --------------------------------------------------------------------------------
 
     def _release(self, target: UpstreamTarget, connection: UpstreamConnection) -> None:
--- a/lanelift/net/event_log.py
+++ b/lanelift/net/event_log.py
@@ -31,6 +31,7 @@
     CLIENT_STALLED = "client_stalled"  # a client did not read its response
     MEMORY_FREED = "memory_freed"  # more was buffered than the limit allows
     UPLOAD_OVERDUE = "upload_overdue"  # an upstream took a streamed body too slowly
+    UNREQUESTED_BYTES = "unrequested_bytes"  # an upstream sent bytes that belong to no request
     WRITE_REFUSED = "write_refused"  # an attempt's conditions no longer held when it was to be written
     RESPONSE_ABORTED = "response_aborted"  # part of a streamed response was passed on
 
--- a/lanelift/net/listener.py
+++ b/lanelift/net/listener.py
@@ -106,7 +106,7 @@
                 log.error("accept failed: %s", error)
                 self.pause(ACCEPT_RETRY_S)
                 return False
-            if peer_state(sock)[0]:
+            if peer_state(sock).ended:
                 sock.close()  # the client disconnected while it waited in the backlog
                 continue
             self._set_up(sock)
--- a/lanelift/net/socket_options.py
+++ b/lanelift/net/socket_options.py
@@ -10,10 +10,11 @@
 import struct
 import sys
 import termios
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
-# Fields of Linux's `struct tcp_info`: the connection's state, and the milliseconds since data last arrived.
-TCP_INFO = struct.Struct("B51xI")
+# Fields of Linux's `struct tcp_info`: the connection's state, the number of sent segments that the peer has
+# not acknowledged, and the milliseconds since data last arrived.
+TCP_INFO = struct.Struct("B23xI24xI")
 # states in linux/tcp_states.h: the peer has reset the connection, or has ended its sending
 TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
 ENDED_STATES = (TCP_CLOSE, TCP_CLOSE_WAIT)
@@ -29,23 +30,49 @@
         """Returns an option of the socket, as bytes."""
 
 
-def peer_state(sock: Socket) -> tuple[bool, int]:
-    """Returns whether the peer has ended the connection, and how many ns ago data last arrived.
+class PeerState(NamedTuple):
+    """The kernel's view of a connection's peer.
 
-    A late event loop learns of received data and of a disconnection only after a delay: to the loop an old
-    request looks new, and a disconnected client looks connected. The kernel's resolution is about 4 ms.
+    Attributes:
+        ended: Whether the peer has ended the connection, or its sending.
+        last_data_ns: How long ago data last arrived from it. The kernel's resolution is about 4 ms.
+        all_acknowledged: Whether it has acknowledged all that was sent to it.
+    """
+
+    ended: bool
+    last_data_ns: int
+    all_acknowledged: bool = True
+
+
+def peer_state(sock: Socket) -> PeerState:
+    """Returns the kernel's view of a connection's peer.
 
-    Returns:
-        The two values; (False, 0) if the kernel does not provide them: the peer then counts as connected, and
-        its data as just arrived.
+    A late event loop learns of received data and of a disconnection only after a delay: to the loop an old
+    request looks new, and a disconnected client looks connected. If the kernel does not provide the state,
+    the peer counts as connected, its data as just arrived, and all that was sent as acknowledged.
     """
     if sys.platform != "linux":
-        return False, 0
+        return PeerState(False, 0)
     try:
-        state, ago_ms = TCP_INFO.unpack(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size))
+        state, unacknowledged, ago_ms = TCP_INFO.unpack(
+            sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+        )
     except (OSError, struct.error):
-        return False, 0
-    return state in ENDED_STATES, ago_ms * NS_PER_MS
+        return PeerState(False, 0)
+    return PeerState(state in ENDED_STATES, ago_ms * NS_PER_MS, not unacknowledged)
+
+
+def acknowledge_now(transport: asyncio.BaseTransport) -> None:
+    """Acknowledges all received data now.
+
+    By default Linux waits for up to 40 ms, or for data to send. Until then a peer without TCP_NODELAY holds
+    back a small write that follows one which is not acknowledged (RFC 9293, 3.7.4).
+    """
+    if sys.platform == "linux":
+        sock = transport.get_extra_info("socket")
+        with contextlib.suppress(OSError):  # the connection is broken or closed already
+            if sock is not None:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
 
 
 def has_unread_data(transport: asyncio.BaseTransport | None) -> bool:
@@ -71,7 +98,7 @@
     The loop reports unread data and the peer's end only in its next iteration. A request that is written
     before that may be lost, or the unread data may be read as its response.
     """
-    return not peer_state(transport.get_extra_info("socket"))[0] and not has_unread_data(transport)
+    return not peer_state(transport.get_extra_info("socket")).ended and not has_unread_data(transport)
 
 
 def limit_kernel_buffers(transport: asyncio.BaseTransport) -> None:
--- a/lanelift/net/upstream_connection.py
+++ b/lanelift/net/upstream_connection.py
@@ -14,6 +14,7 @@
 from lanelift.net.memory import READ_BUFFER, MemoryGuard
 from lanelift.net.socket_options import (
     KERNEL_BUFFER_BYTES,
+    acknowledge_now,
     limit_kernel_buffers,
     peer_state,
     shut_down_now,
@@ -34,6 +35,7 @@
     Attributes:
         on_idle: Called when the connection can carry another exchange.
         on_closed: Called once when the connection ends.
+        on_unrequested_bytes: Called when the server has sent bytes that belong to no request.
         parser: The parser of its responses.
         transport: The transport; None while the connection is being established.
         exchange: The exchange in progress.
@@ -43,6 +45,7 @@
         write_paused: Whether part of the written data still waits in the write buffer.
         parsed_in_s: How long it took to parse the last read; chunks of a few bytes take long.
         memory: Limits what the connection buffers; None for a connection to discovery.
+        awaits_first_byte: Whether nothing of the response to the exchange in progress has been read.
     """
 
     def __init__(
@@ -50,9 +53,11 @@
         on_idle: Callable[[UpstreamConnection], None],
         on_closed: Callable[[UpstreamConnection], None],
         memory: MemoryGuard | None = None,
+        on_unrequested_bytes: Callable[[], None] = lambda: None,
     ) -> None:
         self.on_idle = on_idle
         self.on_closed = on_closed
+        self.on_unrequested_bytes = on_unrequested_bytes
         self.memory = memory
         self.parser = ResponseParser()
         self.transport: asyncio.Transport | None = None
@@ -62,6 +67,7 @@
         self.closed = False
         self.write_paused = False
         self.parsed_in_s = 0.0
+        self.awaits_first_byte = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets up the transport. Its write buffer counts as full from the first byte on, so that
@@ -79,6 +85,7 @@
         """Writes the request of an exchange; no other exchange may be in progress."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
+        self.awaits_first_byte = True
         self.parser.expect_response(exchange.max_body_bytes, exchange.sink is not None)
         upload = exchange.upload
         if upload is not None:
@@ -152,17 +159,22 @@
 
         Failure guarded against: a response that a server sent twice, or noise after a response, would be read
         as the response to the next request. So bytes that arrive without an exchange in progress end the
-        connection. If an exchange was started soon after another, bytes that the kernel received before
-        `distrust_until_s` are not its response, as no server answers that fast: they end the connection, and
-        with it the exchange.
+        connection, and so do bytes that can't be the response of the exchange.
         """
         exchange = self.exchange
         if exchange is None:
+            self.on_unrequested_bytes()
             self.abort()
             return
+        if self.awaits_first_byte:
+            self.awaits_first_byte = False
+            if not self._is_own_response(exchange):
+                self.on_unrequested_bytes()
+                self.abort()
+                return
         if exchange.distrust_until_s:
             assert self.transport is not None
-            age_s = peer_state(self.transport.get_extra_info("socket"))[1] / 1e9
+            age_s = peer_state(self.transport.get_extra_info("socket")).last_data_ns / 1e9
             if asyncio.get_running_loop().time() - age_s < exchange.distrust_until_s:
                 self.abort()
                 return
@@ -173,6 +185,16 @@
         if self.memory is not None:
             self.memory.upstream_received(self, count)
 
+    def _is_own_response(self, exchange: Exchange) -> bool:
+        """Returns whether the first bytes may be the response to the request in progress.
+
+        A server acknowledges a request with its response at the latest. Bytes that it sent without having
+        received the whole request belong to an earlier one.
+        """
+        assert self.transport is not None
+        is_whole = exchange.upload is None and exchange.written
+        return not is_whole or peer_state(self.transport.get_extra_info("socket")).all_acknowledged
+
     @property
     def buffered_bytes(self) -> int:
         """The number of bytes of requests and responses that are kept."""
@@ -228,7 +250,7 @@
     def _stream(self, exchange: Exchange, head: Response) -> None:
         if not exchange.streaming:
             assert self.transport is not None
-            exchange.unread_ns = peer_state(self.transport.get_extra_info("socket"))[1]
+            exchange.unread_ns = peer_state(self.transport.get_extra_info("socket")).last_data_ns
             limit_kernel_buffers(self.transport)
             exchange.start_streaming(head)
         data = self.parser.take_body()
@@ -248,18 +270,23 @@
         """Releases the connection after a complete response, and reports the outcome.
 
         Bytes after a response, such as a second copy or noise, would be read as the response to the next
-        request, so such a connection is closed.
+        request, so such a connection is closed. The server's kernel may hold such bytes back until the
+        response is acknowledged. So it is acknowledged at once, and not together with the next request: the
+        bytes arrive while the connection rests.
         """
         assert self.transport is not None
         if not exchange.streaming:
-            exchange.unread_ns = peer_state(self.transport.get_extra_info("socket"))[1]
+            exchange.unread_ns = peer_state(self.transport.get_extra_info("socket")).last_data_ns
         if self.hold_timer is not None:
             self.hold_timer.cancel()
             self.hold_timer = None
         self.exchange = None
         parser = self.parser
         clean = not (parser.messages or parser.has_partial or parser.error)
+        if not clean:
+            self.on_unrequested_bytes()
         if clean and exchange.written and response.keep_alive:
+            acknowledge_now(self.transport)
             self.transport.resume_reading()  # the response may have ended while reading was paused
             self.on_idle(self)
         else:
--- a/lanelift/net/upstreams.py
+++ b/lanelift/net/upstreams.py
@@ -45,7 +45,7 @@
     ) -> None:
         self.events = EventLog()
         self.memory = MemoryGuard(memory_bytes, sockets, self.events)
-        self.pool = ConnectionPool(limits, max_connections, self.memory)
+        self.pool = ConnectionPool(limits, max_connections, self.memory, self.events)
         self.report_fields = frozenset(report_fields)
         self.probe_path = b"/status/load" if report_fields else b"/health"
 
--- a/lanelift/policy/__init__.py
+++ b/lanelift/policy/__init__.py
@@ -22,6 +22,7 @@
 Ordering by key      ordering.py            key, ends of attempts              Rules.key_cooldown_ns
 Legality             legality.py            request, attempts, upstream        protocol rules 1 to 3 and 5
 Writes               write_check.py         client, upstream, earlier writes   MAX_WRITE_DELAY_NS
+Reuse of connections connection_reuse.py    bytes that nobody asked for, time  SETTLE_NS, DISTRUST_NS
 Restrictions         restrictions.py        zone, kind of machine, class       protocol rule 6
 Placement: window    placement.py           attempts in flight, window         OVERDUE_WINDOW_SHARE
 Placement: late      placement.py           queued work, time to the objective MAX_TIME_SHARE
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from lanelift.net import connection_pool, dispatch
+from lanelift.net import dispatch
+from lanelift.policy import connection_reuse
 from lanelift.policy.balancer import Balancer
 from tests.in_process import EventRecorder
 from tests.known_red import KnownRed
@@ -21,7 +22,7 @@
 @pytest.fixture
 def settled(monkeypatch: pytest.MonkeyPatch) -> None:
     """Makes connections to upstreams count as settled as soon as their response is complete."""
-    monkeypatch.setattr(connection_pool, "SETTLE_S", 0.0)
+    monkeypatch.setattr(connection_reuse, "SETTLE_NS", 0)
 
 
 def pytest_addoption(parser: pytest.Parser) -> None:
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -13,6 +13,7 @@
 from lanelift.net.endpoint_list import read_endpoint, upstream_number
 from lanelift.net.http_messages import encode_message
 from lanelift.net.upstreams import Upstreams
+from lanelift.policy import connection_reuse
 from lanelift.policy.actions import Action, StartAttempt
 from lanelift.policy.events import (
     AttemptFinished,
@@ -20,7 +21,7 @@
     Event,
     RequestArrived,
 )
-from tests.fakes import SECOND, TEST_S, FakeUpstream, answer, never, run
+from tests.fakes import MS, SECOND, TEST_S, FakeUpstream, answer, never, run
 from tests.in_process import SETTINGS, EventRecorder, ScriptedBalancer, in_process_balancer, script_balancer
 from tests.net.support import NO_CANCEL, Gate, R, retry_on_second_upstream
 
@@ -109,9 +110,9 @@
     too early are not accepted.
     """
     # a second response comes within milliseconds; this time leaves a margin
-    assert connection_pool.SETTLE_S >= 0.01
+    assert connection_reuse.SETTLE_NS >= 10 * MS
     # a time longer than the test takes on any machine
-    monkeypatch.setattr(connection_pool, "SETTLE_S", TEST_S)
+    monkeypatch.setattr(connection_reuse, "SETTLE_NS", int(TEST_S * SECOND))
     monkeypatch.setattr(connection_pool, "MIN_RESPONSE_TO_SETTLE_RATIO", 0 if slow else 1)
 
     def acts(event: Event, to: int) -> list[Action]:
--- a/tests/policy/test_write_check.py
+++ b/tests/policy/test_write_check.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -36,7 +37,7 @@
     ],
 )
 def test_each_condition_must_hold_for_every_class(
-    request_class: RequestClass, change: dict[str, int], refusal: WriteRefusal | None
+    request_class: RequestClass, change: dict[str, Any], refusal: WriteRefusal | None
 ) -> None:
     assert write_refusal(request_class, replace(SOUND, **change), NOW) is refusal
 
