A response that has begun is not doubted again, and quick ones are not asked for twice

Requests whose responses took 0 to 8 ms ran twice.

Cause: a GET may be written to a connection that has not settled. What comes before it settles is not taken for the response; but this was checked for each read, by the kernel's age of the last data, which counts in ticks of 4 ms. And such connections were used for quick classes too, as only the mean response time was looked at.

Change: the first bytes alone decide. A timer tells whether bytes came after the connection had settled: what is unread then may be older, what comes later is not. Such a connection is used only after 64 slow responses in a row.

--- a/lanelift/net/connection_pool.py
+++ b/lanelift/net/connection_pool.py
@@ -16,7 +16,7 @@
 from lanelift.net.memory import MemoryGuard
 from lanelift.net.socket_options import is_quiescent
 from lanelift.net.upstream_connection import UpstreamConnection
-from lanelift.policy.connection_reuse import UpstreamTrust
+from lanelift.policy.connection_reuse import ResponseTimes, UpstreamTrust
 from lanelift.policy.events import AttemptResult, EndpointState
 from lanelift.policy.settings import Limits
 
@@ -24,9 +24,6 @@
 
 # Idle connections are closed after this fraction of the upstreams' own idle time-out.
 IDLE_TIMEOUT_FRACTION = 0.6
-# An unsettled connection may serve GET requests if the mean response time is at least this many times the
-# time in which the connection settles.
-MIN_RESPONSE_TO_SETTLE_RATIO = 4
 NS_PER_S = 1e9
 OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 SHORTAGE_LOG_INTERVAL_S = 5.0
@@ -64,7 +61,7 @@
         max_connections: The cap.
         targets: The listed upstreams by number.
         numbers_by_address: The number of the upstream at each address.
-        mean_response_s: The smoothed response time, in seconds.
+        response_times: Whether responses are slow enough for connections that have not settled.
         open_connections: The number of connections, including those that are being opened.
         connect_tasks: The tasks of handshakes in progress.
         memory: Limits what the connections buffer.
@@ -84,7 +81,7 @@
         self.max_connections = max_connections
         self.targets: dict[int, UpstreamTarget] = {}
         self.numbers_by_address: dict[tuple[str, int], int] = {}
-        self.mean_response_s = 0.0
+        self.response_times = ResponseTimes()
         self.open_connections = 0
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.memory = memory
@@ -176,8 +173,8 @@
         would be read as the answer to the next request. They arrive within milliseconds, so a connection is
         used only after it has settled (`lanelift.policy.connection_reuse`). If none has, and the upstream is
         trusted, the oldest may serve a load probe, whose wrong result would reach no client. The oldest may
-        also serve a GET request if responses take long on average; bytes that arrive before the exchange's
-        `distrust_until_s` are not accepted as its response.
+        also serve a GET request if responses are slow; bytes that come before it settles are not accepted as
+        the response.
         """
         idle = target.idle
         now_s = asyncio.get_running_loop().time()
@@ -189,10 +186,11 @@
         for place in range(settled - 1, -1, -1):
             if _is_usable(idle[place]):
                 return idle.pop(place)
-        may_repeat = exchange.is_get and self.mean_response_s >= MIN_RESPONSE_TO_SETTLE_RATIO * settle_s
-        may_be_unsettled = (is_probe or may_repeat) and target.trust.is_trusted(now_ns)
+        may_be_unsettled = target.trust.is_trusted(now_ns) and (
+            is_probe or (exchange.is_get and self.response_times.are_slow)
+        )
         if idle and not settled and may_be_unsettled and _is_usable(idle[0]):
-            exchange.distrust_until_s = 0.0 if is_probe else idle[0].idle_since + settle_s
+            exchange.settles_s = 0.0 if is_probe else idle[0].idle_since + settle_s
             return idle.pop(0)
         return None
 
@@ -210,6 +208,7 @@
             lambda connection: self._forget(target, connection),
             self.memory,
             lambda: self._distrust(target),
+            self.response_times,
         )
         loop = asyncio.get_running_loop()
         started_s = loop.time()
--- a/lanelift/net/exchange.py
+++ b/lanelift/net/exchange.py
@@ -71,14 +71,13 @@
         response_bytes: The stated length of the streamed response; None if it is not stated.
         timeout_at_s: The attempt's time-out as it limits the streamed response (`response_due_s`).
         paused_at_s: When the sink was paused, on the loop's clock.
-        distrust_until_s: Bytes received before this time (loop's clock) are not accepted as the response:
-            they may belong to the previous response on the connection.
+        settles_s: When its connection settles (loop's clock), 0 if it has settled: bytes received before are
+            not accepted as the response, as they may belong to the previous response on the connection.
         streamed_bytes: The number of bytes forwarded so far.
     """
 
     __slots__ = (
         "connection",
-        "distrust_until_s",
         "is_get",
         "last_progress_s",
         "max_body_bytes",
@@ -89,6 +88,7 @@
         "prepare_request",
         "request",
         "response_bytes",
+        "settles_s",
         "sink",
         "streamed_bytes",
         "streaming",
@@ -130,7 +130,7 @@
         self.timeout_at_s = math.inf
         self.paused_at_s = 0.0
         self.response_bytes: int | None = None
-        self.distrust_until_s = 0.0
+        self.settles_s = 0.0
         self.streamed_bytes = 0
 
     # ---- time-outs ---------------------------------------------------------------------------------------
--- a/lanelift/net/upstream_connection.py
+++ b/lanelift/net/upstream_connection.py
@@ -15,11 +15,13 @@
 from lanelift.net.socket_options import (
     KERNEL_BUFFER_BYTES,
     acknowledge_now,
+    has_unread_data,
     limit_kernel_buffers,
     peer_state,
     shut_down_now,
 )
 from lanelift.net.upload import Upload
+from lanelift.policy.connection_reuse import ResponseTimes
 from lanelift.policy.events import AttemptResult
 from lanelift.policy.memory import READ_BYTES_UNDER_PRESSURE
 from lanelift.policy.turns import TURN_S
@@ -45,7 +47,12 @@
         write_paused: Whether part of the written data still waits in the write buffer.
         parsed_in_s: How long it took to parse the last read; chunks of a few bytes take long.
         memory: Limits what the connection buffers; None for a connection to discovery.
+        response_times: Records how long responses take to begin; None for a connection to discovery.
+        started_s: When the exchange in progress was started, on the loop's clock.
         awaits_first_byte: Whether nothing of the response to the exchange in progress has been read.
+        begun_after_ns: How long the response took to begin.
+        settle_timer: The timer for when the connection settles, if the exchange was started before.
+        has_settled: Whether bytes that are read now came after the connection had settled.
     """
 
     def __init__(
@@ -54,6 +61,7 @@
         on_closed: Callable[[UpstreamConnection], None],
         memory: MemoryGuard | None = None,
         on_unrequested_bytes: Callable[[], None] = lambda: None,
+        response_times: ResponseTimes | None = None,
     ) -> None:
         self.on_idle = on_idle
         self.on_closed = on_closed
@@ -67,7 +75,12 @@
         self.closed = False
         self.write_paused = False
         self.parsed_in_s = 0.0
+        self.response_times = response_times
+        self.started_s = 0.0
         self.awaits_first_byte = False
+        self.begun_after_ns = 0
+        self.settle_timer: asyncio.TimerHandle | None = None
+        self.has_settled = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets up the transport. Its write buffer counts as full from the first byte on, so that
@@ -85,7 +98,7 @@
         """Writes the request of an exchange; no other exchange may be in progress."""
         assert self.transport is not None
         self.exchange, exchange.connection = exchange, self
-        self.awaits_first_byte = True
+        self._await_first_byte(exchange)
         self.parser.expect_response(exchange.max_body_bytes, exchange.sink is not None)
         upload = exchange.upload
         if upload is not None:
@@ -99,6 +112,23 @@
         elif exchange.written:
             exchange.request_written()
 
+    def _await_first_byte(self, exchange: Exchange) -> None:
+        loop = asyncio.get_running_loop()
+        self.started_s = loop.time()
+        self.awaits_first_byte = True
+        self.has_settled = not exchange.settles_s
+        if exchange.settles_s:
+            self.settle_timer = loop.call_at(exchange.settles_s, self._settle)
+
+    def _settle(self) -> None:
+        """Accepts the bytes that come from now on.
+
+        What is unread may have come before. No clock tells: the loop may be late, and the kernel's resolution
+        is too coarse.
+        """
+        self.settle_timer = None
+        self.has_settled = not has_unread_data(self.transport)
+
     def write_body(self, data: bytes) -> None:
         """Writes a piece of a streamed body, and resumes or pauses reading from the client."""
         exchange = self.exchange
@@ -166,18 +196,9 @@
             self.on_unrequested_bytes()
             self.abort()
             return
-        if self.awaits_first_byte:
-            self.awaits_first_byte = False
-            if not self._is_own_response(exchange):
-                self.on_unrequested_bytes()
-                self.abort()
-                return
-        if exchange.distrust_until_s:
-            assert self.transport is not None
-            age_s = peer_state(self.transport.get_extra_info("socket")).last_data_ns / 1e9
-            if asyncio.get_running_loop().time() - age_s < exchange.distrust_until_s:
-                self.abort()
-                return
+        if self.awaits_first_byte and not self._accept_first_byte(exchange):
+            self.abort()
+            return
         started_s = time.monotonic()
         self.parser.feed(bytes(READ_BUFFER[:count]))
         self.parsed_in_s = time.monotonic() - started_s
@@ -185,6 +206,17 @@
         if self.memory is not None:
             self.memory.upstream_received(self, count)
 
+    def _accept_first_byte(self, exchange: Exchange) -> bool:
+        """Decides whether the first bytes are taken for the response; this is not decided again later."""
+        self.awaits_first_byte = False
+        if not self._is_own_response(exchange):
+            self.on_unrequested_bytes()
+            return False
+        self.begun_after_ns = int((asyncio.get_running_loop().time() - self.started_s) * 1e9)
+        if not self.has_settled:
+            self._record_response_time(exchange)
+        return self.has_settled
+
     def _is_own_response(self, exchange: Exchange) -> bool:
         """Returns whether the first bytes may be the response to the request in progress.
 
@@ -250,6 +282,7 @@
     def _stream(self, exchange: Exchange, head: Response) -> None:
         if not exchange.streaming:
             assert self.transport is not None
+            self._record_response_time(exchange)
             exchange.unread_ns = peer_state(self.transport.get_extra_info("socket")).last_data_ns
             limit_kernel_buffers(self.transport)
             exchange.start_streaming(head)
@@ -257,6 +290,11 @@
         if data and exchange.on_finished is not None:
             exchange.forward(data)
 
+    def _record_response_time(self, exchange: Exchange) -> None:
+        """Records how long the response to a client's request took to begin."""
+        if self.response_times is not None and exchange.sink is not None:
+            self.response_times.record(self.begun_after_ns)
+
     def eof_received(self) -> None:
         """Closes the connection when the server ends its sending. A response in progress is incomplete,
         unless its end is marked by the end of the connection.
@@ -276,6 +314,8 @@
         """
         assert self.transport is not None
         if not exchange.streaming:
+            if response.status == 200:  # others may be quick, as no work was done for them
+                self._record_response_time(exchange)
             exchange.unread_ns = peer_state(self.transport.get_extra_info("socket")).last_data_ns
         if self.hold_timer is not None:
             self.hold_timer.cancel()
@@ -315,6 +355,8 @@
         if self.closed:
             return
         self.closed = True
+        if self.settle_timer is not None:
+            self.settle_timer.cancel()
         if self.hold_timer is not None:
             self.hold_timer.cancel()
         self.parser.close()
--- a/lanelift/net/upstreams.py
+++ b/lanelift/net/upstreams.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Collection
 
 from lanelift.net.connection_pool import ConnectionPool
@@ -20,7 +19,6 @@
 
 # a response with one of these status codes and `X-Not-Run: 1` states that the request never ran
 NOT_RUN_STATUSES = (503, 504)
-RESPONSE_TIME_SMOOTHING = 16  # a response has a weight of 1 / this number in the smoothed response time
 AttemptCallback = Callable[[AttemptResult, Response | None, LoadReport], None]
 
 
@@ -80,14 +78,10 @@
         if target is None:
             return None
 
-        started_s = asyncio.get_running_loop().time()
-
         def finished(result: AttemptResult, response: Response | None) -> None:
             report = None
             if response is not None:
                 report = read_load_report(response.header(b"x-load"), self.report_fields)
-                took_s = asyncio.get_running_loop().time() - started_s
-                pool.mean_response_s += (took_s - pool.mean_response_s) / RESPONSE_TIME_SMOOTHING
             on_finished(classify_response(result, response), response, report)
 
         exchange = Exchange(
--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from lanelift.net import connection_pool
 from lanelift.net.endpoint_list import read_endpoint, upstream_number
 from lanelift.net.http_messages import encode_message
 from lanelift.net.upstreams import Upstreams
@@ -113,7 +112,7 @@
     assert connection_reuse.SETTLE_NS >= 10 * MS
     # a time longer than the test takes on any machine
     monkeypatch.setattr(connection_reuse, "SETTLE_NS", int(TEST_S * SECOND))
-    monkeypatch.setattr(connection_pool, "MIN_RESPONSE_TO_SETTLE_RATIO", 0 if slow else 1)
+    monkeypatch.setattr(connection_reuse, "MIN_SLOW_RESPONSES", 0 if slow else 64)
 
     def acts(event: Event, to: int) -> list[Action]:
         if isinstance(event, RequestArrived) or (
