An id that is open in one process of an upgrade is refused by the other, in every class

Cause: only ids of classes that must not run twice were shared between the processes.

Change: the shared file has a second table, with the ids of open requests of every class (policy/open_ids.py). An id leaves it before the client is answered, and the table of a process that has ended does not count. The tests' `Daemon.stopped` waits until the process stands still.

--- a/lanelift/net/dispatch.py
+++ b/lanelift/net/dispatch.py
@@ -178,12 +178,17 @@
             self.loop.call_soon(self._hand_over)
 
     def take_id(self, request: OpenRequest) -> bool:
-        """Takes the id of a request that must not run twice; returns False if it may have run already."""
+        """Takes the id of a request that is about to be opened.
+
+        Returns:
+            False if another process has an open request with this id, or if the request must not run twice
+            and may have run already.
+        """
         request_class = self.settings.classes[request.arrival.class_name]
-        if request_class.idempotency is Idempotency.IDEMPOTENT:
-            return True
-        request.holds_id = self.requests.ids.take(request.arrival.request)
-        return request.holds_id
+        runs_once = request_class.idempotency is not Idempotency.IDEMPOTENT
+        request.id_is_open = self.requests.ids.take(request.arrival.request, runs_once)
+        request.holds_id = request.id_is_open and runs_once
+        return request.id_is_open
 
     def receive_request(self, request: OpenRequest) -> None:
         """Opens a client's request, or rejects it without notifying the balancer if too many are open."""
--- a/lanelift/net/requests.py
+++ b/lanelift/net/requests.py
@@ -43,7 +43,8 @@
             sent.
         unfinished_attempts: The number of attempts without an outcome.
         closed: Whether the request was answered or its client has disconnected.
-        holds_id: Whether its id was taken, so that no other request with this id runs.
+        id_is_open: Whether its id counts as that of an open request.
+        holds_id: Whether its id was taken for a request that must not run twice.
         writes_ns: When each attempt that may have run was written (monotonic clock), by the attempt's number.
         last_attempt_timed_out: Whether the most recently ended attempt ended by its time-out.
         streaming_attempt: The number of the attempt whose response is streamed.
@@ -60,6 +61,7 @@
     attempts: list[Exchange | None] = field(default_factory=list)
     unfinished_attempts: int = 0
     closed: bool = False
+    id_is_open: bool = False
     holds_id: bool = False
     writes_ns: dict[int, int] = field(default_factory=dict)
     last_attempt_timed_out: bool = False
@@ -78,7 +80,7 @@
     Attributes:
         by_id: The requests. Each stays until it is closed and has no unfinished attempt.
         awaiting_answer: The number of requests that are not closed yet.
-        ids: The ids of requests that must not run twice.
+        ids: The ids of open requests, and of those that must not run twice.
     """
 
     def __init__(self, metrics: Metrics, post: Callable[[Event], None]) -> None:
@@ -129,7 +131,8 @@
         """Marks a request as closed; returns False if it was closed already.
 
         Attempts whose last byte was not written yet are given up, even if the settings do not allow attempts
-        to be cancelled: these attempts have not run.
+        to be cancelled: these attempts have not run. If no attempt is left, the id is free from now on, and
+        so before the client learns of the end.
         """
         if request.closed:
             return False
@@ -142,6 +145,8 @@
                 exchange.give_up(
                     AttemptResult.NOT_SENT if exchange.connection is None else AttemptResult.CANCELLED
                 )
+        if not request.unfinished_attempts:
+            self.release_id(request)
         return True
 
     def forget(self, request_id: str) -> None:
@@ -152,9 +157,15 @@
             self.release_id(request)
 
     def release_id(self, request: OpenRequest) -> None:
-        """Gives back the id of a request that has not run."""
+        """Gives back the id of a request that has ended; it stays taken if it may have run, and must not run
+        twice.
+        """
+        if request.id_is_open:
+            self.ids.end(request.arrival.request)
+            request.id_is_open = False
         if request.holds_id and not request.writes_ns:
             self.ids.release(request.arrival.request)
+            request.holds_id = False
 
     def fail_after_exception(self, message: str, concerned: Sequence[Event | Action]) -> None:
         """Logs the current exception and fails the requests of the given events or actions.
--- a/lanelift/policy/__init__.py
+++ b/lanelift/policy/__init__.py
@@ -41,6 +41,7 @@
 Giving up            deadlines.py           objective, deadline, expected time DURATION_MARGIN,
                                                                                MIN_WAIT_DIVISOR
 Repeated ids         executed_ids.py        digests of ids, time               REMEMBERED_NS, BUCKETS
+Open ids             open_ids.py            digests of ids                     BUCKET_PLACES, BUCKETS
 Memory of peers      memory.py              what is kept, the process's limit  BUFFER_SHARE,
                                                                                GUARANTEED_BYTES
 Processing time      turns.py               time used, input that waits        CLIENT_SHARE, QUEUE_SHARE,
--- a/tests/robustness/support.py
+++ b/tests/robustness/support.py
@@ -180,9 +180,12 @@
 
     @asynccontextmanager
     async def stopped(self) -> AsyncIterator[None]:
-        """Stops the process (SIGSTOP) within the block."""
+        """Stops the process (SIGSTOP) within the block, which begins once it stands still."""
         self.process.send_signal(signal.SIGSTOP)
         try:
+            async with asyncio.timeout(READY_S):
+                while Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()[0] != "T":
+                    await asyncio.sleep(0.001)
             yield
         finally:
             self.process.send_signal(signal.SIGCONT)
