Discovery is asked again within 3 s of a failed call, so a drain is learned in time

Cause: after a failed call the backoff was up to 8 s, or 0.8 of the notification deadline, while a change counts as told 6 s after discovery could be reached again. The first call of a start was bounded by the deadline alone.

Change: no call waits for more than 3 s. The jitter is applied to the bounded delay, so that calls stay spread.

--- a/lanelift/policy/subscription.py
+++ b/lanelift/policy/subscription.py
@@ -1,10 +1,11 @@
 """Subscription to the endpoint list, if discovery does not push it.
 
 Inputs: whether discovery pushes the list, updates and failures of calls, and the notification deadline. The
-first call is made at a random time in the first quarter of that deadline. Calls after failures are made with
-exponential backoff and jitter, within `MAX_BACKOFF_SHARE` of the deadline. Reason: replicas that start or
-fail together must not call together, so that the load on discovery has no bursts that grow with the number of
-replicas.
+first call is made at a random time in the first quarter of that deadline, within `MAX_DELAY_NS`. Calls after
+failures are made with exponential backoff and jitter, within `MAX_DELAY_SHARE` of the deadline and
+`MAX_DELAY_NS`. Reason: replicas that start or fail together must not call together, so that the load on
+discovery has no bursts that grow with the number of replicas. A change counts as known 6 s after discovery
+could be reached again, whatever failed before, so the next call must come and be answered within that time.
 """
 
 from __future__ import annotations
@@ -18,10 +19,10 @@
 FIRST_CALL_DIVISOR = 4
 FIRST_BACKOFF_NS = SECOND_NS
 BACKOFF_BASE = 2.0  # the delay before the next call is multiplied by this after each further failure
-MAX_BACKOFF_MULTIPLE = 8.0  # longest delay before jitter, as a multiple of FIRST_BACKOFF_NS
 MIN_BACKOFF_FACTOR = 0.5  # lowest jitter factor of a delay; the jitter keeps replicas from calling together
 MAX_BACKOFF_FACTOR = 1.5
-MAX_BACKOFF_SHARE = 0.8  # longest delay before the next call, as a share of the notification deadline
+MAX_DELAY_SHARE = 0.8  # longest delay before a call, as a share of the notification deadline
+MAX_DELAY_NS = 3 * SECOND_NS
 
 
 class EndpointSubscription:
@@ -40,8 +41,8 @@
         self.subscribed = state.settings.discovery_push
         if not self.subscribed:
             deadline_ns = state.settings.rules.notification_deadline_ns
-            delay_ns = int(state.rng.random() * deadline_ns / FIRST_CALL_DIVISOR)
-            state.timers.call_at(now + delay_ns, self._subscribe)
+            longest_ns = min(deadline_ns / FIRST_CALL_DIVISOR, MAX_DELAY_NS)
+            state.timers.call_at(now + int(state.rng.random() * longest_ns), self._subscribe)
 
     def endpoints_changed(self, event: EndpointUpdate, now: int) -> None:
         """Apply an update of the endpoint list, or back off after a failure."""
@@ -56,10 +57,13 @@
         state = self.state
         self.subscribed = False
         self.failures += 1
-        multiple = min(MAX_BACKOFF_MULTIPLE, BACKOFF_BASE ** (self.failures - 1))
-        delay_ns = FIRST_BACKOFF_NS * multiple * state.rng.uniform(MIN_BACKOFF_FACTOR, MAX_BACKOFF_FACTOR)
-        longest_ns = state.settings.rules.notification_deadline_ns * MAX_BACKOFF_SHARE
-        state.timers.call_at(now + int(min(delay_ns, longest_ns)), self._subscribe)
+        deadline_ns = state.settings.rules.notification_deadline_ns
+        longest_ns = min(deadline_ns * MAX_DELAY_SHARE, MAX_DELAY_NS)
+        backoff_ns = min(
+            FIRST_BACKOFF_NS * BACKOFF_BASE ** (self.failures - 1), longest_ns / MAX_BACKOFF_FACTOR
+        )
+        delay_ns = backoff_ns * state.rng.uniform(MIN_BACKOFF_FACTOR, MAX_BACKOFF_FACTOR)
+        state.timers.call_at(now + int(delay_ns), self._subscribe)
 
     def _subscribe(self, now: int) -> None:
         if not self.subscribed:
