Only requests of one segment tell by their acknowledgement whose bytes came

A server may turn such a request away after its first segment, with X-Not-Run: 1; the attempt then ended as a reset, which may have run, and an unsafe request could not be sent again. Found by reading. Change: the check is made for requests of at most 1,400 bytes, of which a server has all or nothing.

--- a/lanelift/net/upstream_connection.py
+++ b/lanelift/net/upstream_connection.py
@@ -29,6 +29,8 @@
 # How long a response without a stated length is held before it is streamed; a short response is complete by
 # then.
 UNKNOWN_LENGTH_HOLD_S = 0.02
+# A request of at most this many bytes is sent in one segment, so that a server receives all of it or nothing.
+ONE_SEGMENT_BYTES = 1400
 
 
 class UpstreamConnection(asyncio.BufferedProtocol):
@@ -49,6 +51,7 @@
         memory: Limits what the connection buffers; None for a connection to discovery.
         response_times: Records how long responses take to begin; None for a connection to discovery.
         started_s: When the exchange in progress was started, on the loop's clock.
+        fits_one_segment: Whether its request is sent in one segment.
         awaits_first_byte: Whether nothing of the response to the exchange in progress has been read.
         begun_after_ns: How long the response took to begin.
         settle_timer: The timer for when the connection settles, if the exchange was started before.
@@ -77,6 +80,7 @@
         self.parsed_in_s = 0.0
         self.response_times = response_times
         self.started_s = 0.0
+        self.fits_one_segment = False
         self.awaits_first_byte = False
         self.begun_after_ns = 0
         self.settle_timer: asyncio.TimerHandle | None = None
@@ -115,6 +119,7 @@
     def _await_first_byte(self, exchange: Exchange) -> None:
         loop = asyncio.get_running_loop()
         self.started_s = loop.time()
+        self.fits_one_segment = exchange.upload is None and len(exchange.request) <= ONE_SEGMENT_BYTES
         self.awaits_first_byte = True
         self.has_settled = not exchange.settles_s
         if exchange.settles_s:
@@ -209,7 +214,7 @@
     def _accept_first_byte(self, exchange: Exchange) -> bool:
         """Decides whether the first bytes are taken for the response; this is not decided again later."""
         self.awaits_first_byte = False
-        if not self._is_own_response(exchange):
+        if not self._is_own_response():
             self.on_unrequested_bytes()
             return False
         self.begun_after_ns = int((asyncio.get_running_loop().time() - self.started_s) * 1e9)
@@ -217,15 +222,17 @@
             self._record_response_time(exchange)
         return self.has_settled
 
-    def _is_own_response(self, exchange: Exchange) -> bool:
+    def _is_own_response(self) -> bool:
         """Returns whether the first bytes may be the response to the request in progress.
 
         A server acknowledges a request with its response at the latest. Bytes that it sent without having
-        received the whole request belong to an earlier one.
+        received the request belong to an earlier one. If a request is sent in several segments, a server may
+        reject it after the first.
         """
         assert self.transport is not None
-        is_whole = exchange.upload is None and exchange.written
-        return not is_whole or peer_state(self.transport.get_extra_info("socket")).all_acknowledged
+        if not self.fits_one_segment:
+            return True
+        return peer_state(self.transport.get_extra_info("socket")).all_acknowledged
 
     @property
     def buffered_bytes(self) -> int:
