A test that waits for a free choice of the balancer makes it instead

Cause: one of two upstreams was chosen at random, request by request. Change: the other upstream is kept busy, so that the next requests go to the one that the test is about. What is checked is the same.

--- a/tests/net/test_connection_pool.py
+++ b/tests/net/test_connection_pool.py
@@ -183,6 +183,10 @@
     async def test() -> None:
         async with in_process_balancer(2) as lb:
             upstream, other = lb.upstreams
+            other.script = [never]
+            held = await lb.client()
+            held.send("held")  # where it keeps `other` busy, the next requests go to `upstream`
+            await asyncio.sleep(0.02)
             while not upstream.seen:  # the balancer picks an upstream at random
                 assert (await lb.request(f"r{len(other.seen)}")).status == 200
             row = {
@@ -196,6 +200,7 @@
             for number in range(8):
                 assert (await lb.request(f"n{number}")).status == 200
             assert change == "restart" or len(upstream.seen) == count
+            held.close()
 
     run(test())
 
