A success does not end the pacing of an upstream that is warming up

Cause: an ejection and a pacing interval end at the same time, ejected_until_ns, and a success cleared it wherever the upstream had an ejection, such as for an overdue attempt.

Change: the end of the pacing interval is kept besides, and a success ends the ejection only.

--- a/lanelift/policy/ejection.py
+++ b/lanelift/policy/ejection.py
@@ -107,12 +107,13 @@
         return is_error and upstream.error_rate > ERROR_EJECTION_RATE and self.error_rate < SHARED_ERROR_RATE
 
     def record_success(self, upstream: Upstream) -> None:
-        """Record a success, and end the ejection of its upstream."""
+        """Record a success, and end the ejection of its upstream, but not the pacing of its slow start."""
         self.record_response(upstream, False)
         self.reset_rate -= OVERALL_RATE_SMOOTHING * self.reset_rate
         upstream.consecutive_resets = 0
         if upstream.consecutive_ejections:
-            upstream.consecutive_ejections = upstream.ejected_until_ns = 0
+            upstream.consecutive_ejections = 0
+            upstream.ejected_until_ns = upstream.paced_until_ns
 
     def record_reset(self, upstream: Upstream) -> bool:
         """Record a connection that broke; return whether its upstream is to be ejected for it.
--- a/lanelift/policy/forwarding.py
+++ b/lanelift/policy/forwarding.py
@@ -45,7 +45,8 @@
             members = request.pool.subset.members.get(upstream.id, ())
             state.actions += registry.peer_load.announce(upstream, members, attempt.work_ns)
         if registry.slow_start.is_warming_up(upstream, now):
-            upstream.ejected_until_ns = now + registry.slow_start.pacing_interval_ns(upstream, now)
+            upstream.paced_until_ns = now + registry.slow_start.pacing_interval_ns(upstream, now)
+            upstream.ejected_until_ns = upstream.paced_until_ns
             state.timers.wake_at(upstream.ejected_until_ns)
         state.actions.append(StartAttempt(request.id, upstream.id))
         return attempt
--- a/lanelift/policy/registry.py
+++ b/lanelift/policy/registry.py
@@ -111,12 +111,13 @@
         before, upstream.endpoint = upstream.endpoint, endpoint
         restarted = endpoint.started_ns != before.started_ns
         if restarted:
-            upstream.consecutive_ejections = upstream.ejected_until_ns = 0
+            upstream.consecutive_ejections = upstream.ejected_until_ns = upstream.paced_until_ns = 0
         newly_listed = before is endpoint
         if self.slow_start.is_warming_up(upstream, now) and (restarted or newly_listed):
             # Rule 4: the first requests of all replicas must not reach it together.
             interval_ns = self.slow_start.pacing_interval_ns(upstream, now)
-            upstream.ejected_until_ns = now + int(self.rng.random() * interval_ns)
+            upstream.paced_until_ns = now + int(self.rng.random() * interval_ns)
+            upstream.ejected_until_ns = upstream.paced_until_ns
 
     def forget_if_removed(self, upstream: Upstream) -> None:
         """Forget an upstream if it is removed and holds no attempt.
--- a/lanelift/policy/upstreams.py
+++ b/lanelift/policy/upstreams.py
@@ -31,6 +31,7 @@
         unreachable: Whether the last attempt failed to connect to the upstream (`outcomes.py`).
         ejected_until_ns: The upstream gets no attempt before this time, which is the end of its ejection
             (`ejection.py`) or its pacing interval (`forwarding.py`, `registry.py`).
+        paced_until_ns: The end of its last pacing interval while it warms up, which no success ends.
         ejected_at_ns: When the upstream was last ejected (`ejection.py`).
         peak_in_flight: The most attempts that this replica has had in flight at the upstream
             (`forwarding.py`).
@@ -47,6 +48,7 @@
     consecutive_ejections: int = 0
     unreachable: bool = False
     ejected_until_ns: int = 0
+    paced_until_ns: int = 0
     ejected_at_ns: int = 0
     peak_in_flight: int = 0
     error_rate: float = 0.0
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -10,9 +10,13 @@
 from lanelift.policy.attempts import Attempt
 from lanelift.policy.events import (
     AttemptResult,
+    Endpoint,
 )
+from lanelift.policy.upstreams import Upstream
 from tests.policy.checked_balancer import (
     MS,
+    SECOND,
+    START,
     CheckedBalancer,
     arrival,
 )
@@ -87,3 +91,14 @@
     assert upstream.consecutive_ejections == 1
     checked.balancer.ejection.eject(Attempt(upstream, sent + 600 * MS, 1.0, 1.0), sent + 900 * MS, 10 * MS)
     assert upstream.consecutive_ejections == 2
+
+
+def test_a_success_ends_an_ejection_but_not_the_pacing_of_slow_start() -> None:
+    """An upstream that warms up had an attempt that was overdue. The next success cleared its pacing interval
+    too, and the upstream got attempts one after the other.
+    """
+    upstream = Upstream(1, Endpoint(1))
+    upstream.consecutive_ejections, upstream.paced_until_ns = 1, START + 50 * MS
+    upstream.ejected_until_ns = START + SECOND
+    CheckedBalancer().balancer.ejection.record_success(upstream)
+    assert (upstream.consecutive_ejections, upstream.ejected_until_ns) == (0, START + 50 * MS)
