Reading a long body ahead for its client's end is taken back

What is read ahead goes over the limit on buffered bytes where memory is short, as in a large test process, and the request is evicted; and a body longer than what is read ahead is refused after 0.1 s.

--- a/lanelift/net/attempts.py
+++ b/lanelift/net/attempts.py
@@ -75,15 +75,11 @@
         client_connected = self.is_client_connected()
         now_ns = time.monotonic_ns()
         left_ns = self._left_ns(now_ns)
-        conditions = WriteConditions(
-            upstream_ready,
-            client_connected,
-            left_ns,
-            request.first_write_ns(self.number),
-            request.client.unseen_ns(),
+        refusal = write_refusal(
+            self.runner.settings.classes[request.arrival.class_name],
+            WriteConditions(upstream_ready, client_connected, left_ns, request.first_write_ns(self.number)),
+            now_ns,
         )
-        request_class = self.runner.settings.classes[request.arrival.class_name]
-        refusal = write_refusal(request_class, conditions, now_ns)
         if refusal is not None:
             detail = f"request {request.arrival.request}: {refusal.value}"
             self.runner.events.record(EventKind.WRITE_REFUSED, detail)
--- a/lanelift/net/client_connection.py
+++ b/lanelift/net/client_connection.py
@@ -24,7 +24,7 @@
 from lanelift.net.socket_options import limit_kernel_buffers, peer_state, unread_bytes
 from lanelift.net.upload import Upload
 from lanelift.policy.events import RequestArrived
-from lanelift.policy.upload_deadline import OPEN_WINDOW_BYTES, UploadDeadline
+from lanelift.policy.upload_deadline import UploadDeadline
 
 if TYPE_CHECKING:
     from lanelift.net.frontend import Frontend
@@ -46,14 +46,12 @@
     Attributes:
         dispatcher: The dispatcher that receives its requests.
         wait_ns: How long the client waits for the answer after it has sent the last byte of its request.
-        seen_ns: When the client of a streamed body was last known to be connected (monotonic clock).
     """
 
     def __init__(self, frontend: Frontend) -> None:
         super().__init__(frontend)
         self.dispatcher = frontend.dispatcher
         self.wait_ns = 0
-        self.seen_ns = 0
 
     # ---- memory ------------------------------------------------------------------------------------------
 
@@ -231,7 +229,6 @@
             length = next((int(value) for name, value in message.headers if name == b"content-length"), None)
             deadline = UploadDeadline(self.received_ns, max(0, self.wait_ns - ANSWER_MARGIN_NS), length)
             self.upload = request.upload = Upload(self._set_reading, length, deadline)
-            self.seen_ns = time.monotonic_ns()
             assert self.transport is not None
             limit_kernel_buffers(self.transport)
             self._loop.call_later(UPLOAD_CHECK_S, self._check_upload, self.upload)
@@ -300,24 +297,12 @@
         assert self.transport is not None
         now = time.monotonic_ns()
         age_ns = peer_state(self.transport.get_extra_info("socket")).last_data_ns
-        unread = unread_bytes(self.transport)
-        upload.deadline.observe(now, now - age_ns, self.parser.streamed_bytes, len(self.unparsed), unread)
-        if unread < OPEN_WINDOW_BYTES:
-            self.seen_ns = now  # the client's end would have arrived behind the unread bytes
-
-    def unseen_ns(self) -> int:
-        """Returns how long ago the client was last known to be connected, in ns."""
-        if self.upload is None:
-            return 0
-        self._observe_upload(self.upload)
-        return time.monotonic_ns() - self.seen_ns
+        upload.deadline.observe(
+            now, now - age_ns, self.parser.streamed_bytes, len(self.unparsed), unread_bytes(self.transport)
+        )
 
     def _check_upload(self, upload: Upload) -> None:
-        """Fails the open request if its answer is due while its body is still being forwarded.
-
-        Failure guarded against: while a body waits for its upstream's connection, reading is paused, and the
-        client's end is hidden behind the unread part. So a further part is read if the wait is long.
-        """
+        """Fails the open request if its answer is due while its body is still being forwarded."""
         if self.upload is not upload or self.request is None:
             return
         self._observe_upload(upload)
@@ -326,7 +311,6 @@
         if time.monotonic_ns() >= upload.deadline.due_ns:
             self.dispatcher.requests.fail_overdue_upload(self.request)
         else:
-            upload.read_ahead()
             self._loop.call_later(UPLOAD_CHECK_S, self._check_upload, upload)
 
     def _set_reading(self, enabled: bool) -> None:
--- a/lanelift/net/client_input.py
+++ b/lanelift/net/client_input.py
@@ -107,10 +107,6 @@
             self.abort()
         return self.request is not None
 
-    def unseen_ns(self) -> int:
-        """Returns how long ago the client was last known to be connected, in ns."""
-        return 0
-
     def _may_hide_close(self) -> bool:
         """Returns whether the client may have closed its connection behind data that is unread.
 
--- a/lanelift/net/interfaces.py
+++ b/lanelift/net/interfaces.py
@@ -18,12 +18,6 @@
         paused.
         """
 
-    def unseen_ns(self) -> int:
-        """Returns how long ago the client was last known to be connected, in ns.
-
-        While much of a streamed body is unread, the client's end may be hidden behind it.
-        """
-
     def respond(self, response: Response) -> None:
         """Answers with an upstream's response."""
 
--- a/lanelift/net/upload.py
+++ b/lanelift/net/upload.py
@@ -10,7 +10,6 @@
 if TYPE_CHECKING:
     from lanelift.net.upstream_connection import UpstreamConnection
 
-READ_AHEAD_BYTES = 1024 * 1024
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -18,17 +17,14 @@
     """A streamed request body.
 
     Until a connection is attached, the received part is buffered here and reading from the client is paused;
-    the request can still go to another upstream. If the connection takes long to come, a bounded further part
-    is read (`read_ahead`), as the client's end would be hidden behind it. After that each piece is written as
-    it arrives, and reading is paused whenever the upstream accepts no more.
+    the request can still go to another upstream. After that each piece is written as it arrives, and reading
+    is paused whenever the upstream accepts no more.
 
     Attributes:
         set_reading: Called with True to resume reading from the client, and with False to pause reading.
         length_bytes: The stated length; None if the body is sent in chunks.
         buffered: The part received before a connection is attached: at most as many bytes as the longest
-            buffered body, plus one read; or `READ_AHEAD_BYTES` plus one read.
-        buffered_bytes: The length of that part.
-        may_buffer_bytes: Reading is paused once this much is buffered.
+            buffered body, plus one read.
         complete: Whether the last byte was received.
         consumed: Whether a connection was attached, after which the request can't be sent again.
         connection: The attached connection.
@@ -37,13 +33,11 @@
 
     __slots__ = (
         "buffered",
-        "buffered_bytes",
         "complete",
         "connection",
         "consumed",
         "deadline",
         "length_bytes",
-        "may_buffer_bytes",
         "set_reading",
     )
 
@@ -57,8 +51,6 @@
         self.length_bytes = length_bytes
         self.deadline = deadline
         self.buffered: list[bytes] = []
-        self.buffered_bytes = 0
-        self.may_buffer_bytes = 0
         self.complete = False
         self.consumed = False
         self.connection: UpstreamConnection | None = None
@@ -69,16 +61,9 @@
             self.connection.write_body(self._frame(data))
         elif not self.consumed:
             self.buffered.append(data)
-            self.buffered_bytes += len(data)
-        if self.connection is None and self.buffered_bytes >= self.may_buffer_bytes:
+        if self.connection is None:
             self.set_reading(False)
 
-    def read_ahead(self) -> None:
-        """Reads a further part of the body while no connection is attached."""
-        self.may_buffer_bytes = READ_AHEAD_BYTES
-        if not self.consumed and self.buffered_bytes < READ_AHEAD_BYTES:
-            self.set_reading(True)
-
     def finish(self) -> None:
         """Ends the body after its last byte."""
         self.complete = True
@@ -93,7 +78,6 @@
         """
         self.connection, self.consumed = connection, True
         buffered, self.buffered = self.buffered, []
-        self.buffered_bytes = self.may_buffer_bytes = 0
         start = b"".join(map(self._frame, buffered))
         return start + LAST_CHUNK if self.complete and self.length_bytes is None else start
 
--- a/lanelift/policy/write_check.py
+++ b/lanelift/policy/write_check.py
@@ -17,8 +17,6 @@
 from lanelift.policy.units import MILLISECOND_NS
 
 MAX_WRITE_DELAY_NS = 150 * MILLISECOND_NS  # longest stop of a balancer between reading its clock and writing
-# a client whose end may be hidden behind unread data counts as connected for this long
-MAX_CLIENT_UNSEEN_NS = 100 * MILLISECOND_NS
 
 
 class WriteRefusal(Enum):
@@ -26,7 +24,6 @@
 
     UPSTREAM_NOT_READY = "its upstream drains or is gone"
     CLIENT_LEFT = "its client has left"
-    CLIENT_UNSEEN = "its client may have left behind data that is unread"
     DEADLINE_PASSED = "its deadline has passed"
     MAY_HAVE_RUN = "an earlier attempt may have run"
     WINDOW_CLOSED = "an earlier attempt may have run, and its deduplication window is over"
@@ -38,8 +35,7 @@
 
     Attributes:
         upstream_ready: Whether the upstream is listed as ready.
-        client_connected: Whether the client is connected, as far as can be seen.
-        client_unseen_ns: How long ago the client was last known to be connected.
+        client_connected: Whether the client is known to be connected.
         left_ns: How long the client still waits.
         first_write_ns: When the first of the request's other attempts that may have run was written; None if
             none of them may have run.
@@ -49,7 +45,6 @@
     client_connected: bool
     left_ns: int
     first_write_ns: int | None
-    client_unseen_ns: int = 0
 
 
 def write_refusal(request_class: RequestClass, conditions: WriteConditions, now: int) -> WriteRefusal | None:
@@ -58,8 +53,6 @@
         return WriteRefusal.UPSTREAM_NOT_READY
     if not conditions.client_connected:
         return WriteRefusal.CLIENT_LEFT
-    if conditions.client_unseen_ns > MAX_CLIENT_UNSEEN_NS:
-        return WriteRefusal.CLIENT_UNSEEN
     if conditions.left_ns <= 0:
         return WriteRefusal.DEADLINE_PASSED
     if conditions.first_write_ns is None or request_class.idempotency is Idempotency.IDEMPOTENT:
--- a/tests/net/test_late_writes.py
+++ b/tests/net/test_late_writes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
 from collections.abc import Callable
 from dataclasses import replace
@@ -24,12 +23,11 @@
     RequestArrived,
 )
 from lanelift.policy.settings import Idempotency, RequestClass
-from tests.fakes import SECOND, Client, answer, run
+from tests.fakes import SECOND, answer, run
 from tests.in_process import (
     CLASSES,
     SETTINGS,
     EventRecorder,
-    InProcessBalancer,
     in_process_balancer,
     script_balancer,
 )
@@ -263,58 +261,3 @@
             assert not lb.upstreams[1].seen
 
     run(test())
-
-
-async def send_large(lb: InProcessBalancer, size: int) -> Client:
-    """Sends a request whose body fits into the client's own buffer, so that it may close at once."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 << 20)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, lb.address)
-    client = Client(*await asyncio.open_connection(sock=sock))
-    client.writer.write(request_with_length("r1", b"x" * size))
-    return client
-
-
-@pytest.mark.parametrize("size", [300_000, 600_000, 3_000_000])
-def test_a_late_attempt_is_not_begun_for_a_client_whose_end_is_hidden_behind_its_body(
-    monkeypatch: pytest.MonkeyPatch, recorded: EventRecorder, size: int
-) -> None:
-    """A client writes a large request and closes while the attempt waits for its connection. Its end is
-    behind the part of the body that was not read, and the attempt was begun long after it had left."""
-    script_balancer(monkeypatch, recorded, start_at("s-0"))
-
-    async def test() -> None:
-        async with in_process_balancer(settings=LATE) as lb:
-            gate = Gate(lb.upstreams[0])
-            client = await send_large(lb, size)
-            await gate.reached.wait()
-            await asyncio.sleep(0.05)
-            client.close()
-            await asyncio.sleep(0.4)
-            gate.open.set()
-            await recorded.until(recorded.results)
-            assert recorded.results() == [R.NOT_SENT]
-
-    run(test())
-
-
-@pytest.mark.parametrize("late_s", [0.05, 0.4])
-def test_a_late_attempt_of_a_large_request_has_its_whole_body(
-    monkeypatch: pytest.MonkeyPatch, recorded: EventRecorder, late_s: float
-) -> None:
-    """Part of the body is read ahead while the connection is awaited."""
-    script_balancer(monkeypatch, recorded, start_at("s-0"))
-
-    async def test() -> None:
-        async with in_process_balancer(settings=LATE) as lb:
-            gate = Gate(lb.upstreams[0])
-            client = await send_large(lb, 600_000)
-            await gate.reached.wait()
-            await asyncio.sleep(late_s)
-            gate.open.set()
-            assert (await client.answer()).body == b"s-0"
-            assert [message.body for message in lb.upstreams[0].seen] == [b"x" * 600_000]
-            client.close()
-
-    run(test())
--- a/tests/policy/test_write_check.py
+++ b/tests/policy/test_write_check.py
@@ -10,7 +10,6 @@
 from lanelift.policy.settings import Idempotency, RequestClass
 from lanelift.policy.units import MILLISECOND_NS as MS
 from lanelift.policy.write_check import (
-    MAX_CLIENT_UNSEEN_NS,
     MAX_WRITE_DELAY_NS,
     WriteConditions,
     WriteRefusal,
@@ -33,8 +32,6 @@
         ({}, None),
         ({"upstream_ready": False}, WriteRefusal.UPSTREAM_NOT_READY),
         ({"client_connected": False}, WriteRefusal.CLIENT_LEFT),
-        ({"client_unseen_ns": MAX_CLIENT_UNSEEN_NS}, None),
-        ({"client_unseen_ns": MAX_CLIENT_UNSEEN_NS + 1}, WriteRefusal.CLIENT_UNSEEN),
         ({"left_ns": 0}, WriteRefusal.DEADLINE_PASSED),
         ({"left_ns": -MS}, WriteRefusal.DEADLINE_PASSED),
     ],
